--- a/endivespindle/bench/experiment_control.py
+++ b/endivespindle/bench/experiment_control.py
@@ -13,7 +13,6 @@
 from endivespindle.node.context import NodeContext
 from endivespindle.node.payloads import MemoryPayloadStore
 from endivespindle.node.peer_sync import PeerSync
-from endivespindle.platform.interfaces import VmListInterface
 from endivespindle.schema.generated.backend import VmEntry, VmList, VmState
 from endivespindle.schema.generated.settings import (
     DataSettings,
@@ -25,6 +24,7 @@
     VmSettings,
 )
 from endivespindle.standins.memory_store import MemoryObjectStore
+from endivespindle.store.interfaces import VmListInterface
 
 __all__ = ["EXPERIMENT", "ControlExperiment", "measure_control"]
 
--- a/endivespindle/cli/keys.py
+++ b/endivespindle/cli/keys.py
@@ -14,10 +14,10 @@
 from endivespindle.cli.platform_session import with_platform
 from endivespindle.core.digests import keyed_hash
 from endivespindle.core.ids import RandomIdSource
-from endivespindle.platform.http_client import HttpPlatform
-from endivespindle.platform.keys import change_keys
 from endivespindle.schema.generated.settings import Settings
 from endivespindle.schema.generated.stored import KeyState, KeyTableRoot
+from endivespindle.store.http_client import HttpPlatform
+from endivespindle.store.keys import change_keys
 
 __all__ = ["app"]
 
--- a/endivespindle/cli/platform_session.py
+++ b/endivespindle/cli/platform_session.py
@@ -8,8 +8,8 @@
 import aiohttp
 
 from endivespindle.cli.files import load_settings
-from endivespindle.platform.http_client import HttpPlatform
 from endivespindle.schema.generated.settings import Settings
+from endivespindle.store.http_client import HttpPlatform
 
 __all__ = ["with_platform"]
 
--- a/endivespindle/cli/register.py
+++ b/endivespindle/cli/register.py
@@ -9,10 +9,10 @@
 from endivespindle.cli.platform_session import with_platform
 from endivespindle.core.ids import RandomIdSource
 from endivespindle.demo.load import read_toml
-from endivespindle.platform.apply import apply_register, read_register
-from endivespindle.platform.http_client import HttpPlatform
 from endivespindle.schema.generated.settings import Settings
 from endivespindle.schema.generated.stored import RegisterRoot
+from endivespindle.store.apply import apply_register, read_register
+from endivespindle.store.http_client import HttpPlatform
 
 __all__ = ["app"]
 
--- a/endivespindle/cli/usage.py
+++ b/endivespindle/cli/usage.py
@@ -11,9 +11,9 @@
 from endivespindle.exceptions import CheckError
 from endivespindle.node.receipts import read_receipts
 from endivespindle.node.usage_role import FREEZE_KIND
-from endivespindle.platform.http_client import HttpPlatform
 from endivespindle.schema.generated.settings import Settings
 from endivespindle.schema.generated.stored import UsageReport, WindowFreeze
+from endivespindle.store.http_client import HttpPlatform
 from endivespindle.usage.receipts import check_receipts
 from endivespindle.usage.verify import verify_reports
 
--- a/endivespindle/demo/deployment.py
+++ b/endivespindle/demo/deployment.py
@@ -11,8 +11,6 @@
 from endivespindle.core.ids import SeededIdSource
 from endivespindle.node.entry_vm import EntryVm
 from endivespindle.node.network import SocketNetwork
-from endivespindle.platform.apply import apply_register
-from endivespindle.platform.keys import change_keys
 from endivespindle.schema.generated.backend import VmEntry, VmState
 from endivespindle.schema.generated.demo import DemoPlan
 from endivespindle.schema.generated.register import (
@@ -32,6 +30,8 @@
 from endivespindle.standins.engine import EngineStandin
 from endivespindle.standins.platform import PlatformStandin
 from endivespindle.standins.service import ServiceStandin
+from endivespindle.store.apply import apply_register
+from endivespindle.store.keys import change_keys
 
 __all__ = ["Deployment"]
 
--- a/endivespindle/demo/run.py
+++ b/endivespindle/demo/run.py
@@ -15,7 +15,6 @@
 from endivespindle.demo import observer
 from endivespindle.demo.callers import CallerApp
 from endivespindle.demo.deployment import Deployment
-from endivespindle.platform.keys import change_keys
 from endivespindle.schema.generated.demo import (
     DemoEvent,
     DemoEventKind,
@@ -25,6 +24,7 @@
 from endivespindle.schema.generated.register import Register
 from endivespindle.schema.generated.rollout import StepSubmission
 from endivespindle.standins.trainer import TrainerStandin, make_steps
+from endivespindle.store.keys import change_keys
 
 __all__ = ["DemoResult", "run_demo"]
 
--- a/endivespindle/gateway/rollout.py
+++ b/endivespindle/gateway/rollout.py
@@ -15,8 +15,6 @@
 from endivespindle.node.context import NodeContext
 from endivespindle.node.delivery_log import DeliveryLog
 from endivespindle.node.payload_copies import PayloadCopies
-from endivespindle.platform.kind_watch import KindWatch
-from endivespindle.platform.object_store import ObjectStore
 from endivespindle.rollout.delivery import (
     OfferResult,
     acknowledge,
@@ -40,6 +38,8 @@
     VersionDeclaration,
 )
 from endivespindle.schema.generated.stored import DeliveryEntry, TrainerState
+from endivespindle.store.kind_watch import KindWatch
+from endivespindle.store.object_store import ObjectStore
 
 __all__ = ["RolloutHandler"]
 
--- a/endivespindle/node/capacity_role.py
+++ b/endivespindle/node/capacity_role.py
@@ -18,9 +18,9 @@
 )
 from endivespindle.node.context import NodeContext
 from endivespindle.node.lease_keeper import LeaseKeeper
-from endivespindle.platform.interfaces import CapacityInterface
 from endivespindle.schema.generated.backend import CapacityState
 from endivespindle.schema.generated.register import DataCentre, Service
+from endivespindle.store.interfaces import CapacityInterface
 
 __all__ = ["CapacityRole"]
 
--- a/endivespindle/node/config_sync.py
+++ b/endivespindle/node/config_sync.py
@@ -8,16 +8,16 @@
 from endivespindle.exceptions import EndivespindleError, PlatformError
 from endivespindle.node.context import NodeContext
 from endivespindle.node.relay import watches_platform
-from endivespindle.platform.apply import (
+from endivespindle.schema.generated.stored import KeyTableRoot, RegisterRoot
+from endivespindle.store.apply import (
     REVISION_KIND,
     ROOT_KIND,
     ROOT_NAME,
     revision_name,
 )
-from endivespindle.platform.keys import KEYS_KIND, KEYS_NAME
-from endivespindle.platform.object_store import ObjectStore
-from endivespindle.platform.update import read_object
-from endivespindle.schema.generated.stored import KeyTableRoot, RegisterRoot
+from endivespindle.store.keys import KEYS_KIND, KEYS_NAME
+from endivespindle.store.object_store import ObjectStore
+from endivespindle.store.update import read_object
 
 __all__ = ["ConfigSync"]
 
--- a/endivespindle/node/delivery_log.py
+++ b/endivespindle/node/delivery_log.py
@@ -13,8 +13,6 @@
     ConflictError,
     PlatformUnavailableError,
 )
-from endivespindle.platform.object_store import ObjectStore
-from endivespindle.platform.update import read_object, update_object
 from endivespindle.rollout.sealing import entry_page_name, next_page, seal
 from endivespindle.rollout.submission import (
     SplitStep,
@@ -29,6 +27,8 @@
     PromptPage,
     TrainerState,
 )
+from endivespindle.store.object_store import ObjectStore
+from endivespindle.store.update import read_object, update_object
 
 __all__ = ["ENTRY_PAGE_KIND", "PROMPT_PAGE_KIND", "TRAINER_KIND", "DeliveryLog"]
 
--- a/endivespindle/node/entry_vm.py
+++ b/endivespindle/node/entry_vm.py
@@ -32,20 +32,20 @@
 from endivespindle.node.usage_role import UsageFlush, UsageRole
 from endivespindle.node.weights_role import WeightsRole
 from endivespindle.peers.tasks import end_tasks
-from endivespindle.platform.breaker import Breaker
-from endivespindle.platform.budget import CallBudget
-from endivespindle.platform.budgeted_store import (
+from endivespindle.register.view import RegisterView
+from endivespindle.routing.choice import LeastExpectedWait
+from endivespindle.schema.generated.register import Rules, Trainer
+from endivespindle.schema.generated.settings import Settings
+from endivespindle.store.breaker import Breaker
+from endivespindle.store.budget import CallBudget
+from endivespindle.store.budgeted_store import (
     BudgetedCapacity,
     BudgetedStore,
     BudgetedUsage,
     BudgetedVms,
 )
-from endivespindle.platform.gate import CallGate
-from endivespindle.platform.kind_watch import KindWatch
-from endivespindle.register.view import RegisterView
-from endivespindle.routing.choice import LeastExpectedWait
-from endivespindle.schema.generated.register import Rules, Trainer
-from endivespindle.schema.generated.settings import Settings
+from endivespindle.store.gate import CallGate
+from endivespindle.store.kind_watch import KindWatch
 
 __all__ = ["EntryVm"]
 
--- a/endivespindle/node/idempotency.py
+++ b/endivespindle/node/idempotency.py
@@ -14,8 +14,6 @@
     PlatformError,
     RefusedError,
 )
-from endivespindle.platform.object_store import ObjectStore
-from endivespindle.platform.update import read_object
 from endivespindle.routing.idempotency import (
     Claim,
     Replay,
@@ -25,6 +23,8 @@
 )
 from endivespindle.schema.generated.caller import RunState
 from endivespindle.schema.generated.stored import IdempotencyRecord
+from endivespindle.store.object_store import ObjectStore
+from endivespindle.store.update import read_object
 
 __all__ = ["IDEMPOTENCY_KIND", "IdempotencyKeys"]
 
--- a/endivespindle/node/lease_keeper.py
+++ b/endivespindle/node/lease_keeper.py
@@ -16,9 +16,9 @@
 from endivespindle.leases.lease import Lease, LeaseWrite
 from endivespindle.node.context import NodeContext
 from endivespindle.peers.tasks import end_tasks
-from endivespindle.platform.object_store import ObjectStore
-from endivespindle.platform.update import read_object
 from endivespindle.schema.generated.stored import Intent, LeaseRecord
+from endivespindle.store.object_store import ObjectStore
+from endivespindle.store.update import read_object
 
 __all__ = ["LEASE_KIND", "LeaseKeeper"]
 
--- a/endivespindle/node/network.py
+++ b/endivespindle/node/network.py
@@ -14,9 +14,9 @@
 )
 from endivespindle.gateway.tls import CertificateReloader
 from endivespindle.peers.tasks import end_tasks
-from endivespindle.platform.http_client import HttpPlatform
-from endivespindle.platform.interfaces import Platform
 from endivespindle.schema.generated.settings import Settings
+from endivespindle.store.http_client import HttpPlatform
+from endivespindle.store.interfaces import Platform
 
 __all__ = ["Network", "SocketNetwork"]
 
--- a/endivespindle/node/peer_sync.py
+++ b/endivespindle/node/peer_sync.py
@@ -16,7 +16,6 @@
 from endivespindle.peers.links import PeerLinks
 from endivespindle.peers.tasks import end_tasks
 from endivespindle.peers.transport import PeerServer
-from endivespindle.platform.interfaces import VmListInterface
 from endivespindle.schema.generated.peer import (
     AskedTokens,
     DropPayloads,
@@ -31,6 +30,7 @@
     PutPayload,
 )
 from endivespindle.schema.generated.stored import KeyTableRoot, RegisterRoot
+from endivespindle.store.interfaces import VmListInterface
 
 __all__ = ["PeerSync"]
 
--- a/endivespindle/node/relay.py
+++ b/endivespindle/node/relay.py
@@ -4,7 +4,7 @@
 
 from endivespindle.exceptions import PlatformError
 from endivespindle.node.context import NodeContext
-from endivespindle.platform.interfaces import VmListInterface
+from endivespindle.store.interfaces import VmListInterface
 
 __all__ = ["ListFollower", "watches_platform"]
 
--- a/endivespindle/node/roles.py
+++ b/endivespindle/node/roles.py
@@ -6,8 +6,8 @@
 from endivespindle.node.context import NodeContext
 from endivespindle.node.lease_keeper import LeaseKeeper, Role
 from endivespindle.peers.tasks import end_tasks
-from endivespindle.platform.object_store import ObjectStore
 from endivespindle.register.view import RegisterView
+from endivespindle.store.object_store import ObjectStore
 
 __all__ = ["RoleRunner", "ShardRole"]
 
--- a/endivespindle/node/tests/test_idempotency_machine.py
+++ b/endivespindle/node/tests/test_idempotency_machine.py
@@ -16,9 +16,9 @@
     RefusedError,
 )
 from endivespindle.node.idempotency import IdempotencyKeys
-from endivespindle.platform.object_store import ObjectStore, StoredObject
 from endivespindle.routing.idempotency import request_digest
 from endivespindle.schema.generated.caller import RunState
+from endivespindle.store.object_store import ObjectStore, StoredObject
 
 KEYS = ("k1", "k2")
 BODIES = (b"one", b"two")
--- a/endivespindle/node/trainer_role.py
+++ b/endivespindle/node/trainer_role.py
@@ -14,8 +14,6 @@
 from endivespindle.node.payload_copies import PayloadCopies
 from endivespindle.node.sample_run import SampleRun
 from endivespindle.node.weights_role import WeightsRole
-from endivespindle.platform.kind_watch import KindWatch
-from endivespindle.platform.object_store import ObjectStore
 from endivespindle.rollout.delivery import (
     CandidateSample,
     CommitResult,
@@ -33,6 +31,8 @@
 from endivespindle.schema.generated.register import Trainer
 from endivespindle.schema.generated.rollout import Sample
 from endivespindle.schema.generated.stored import TrainerState
+from endivespindle.store.kind_watch import KindWatch
+from endivespindle.store.object_store import ObjectStore
 from endivespindle.usage.billing import UsageOutcome
 
 __all__ = ["TrainerRole"]
--- a/endivespindle/node/usage_role.py
+++ b/endivespindle/node/usage_role.py
@@ -15,14 +15,14 @@
 from endivespindle.node.context import NodeContext
 from endivespindle.node.lease_keeper import LeaseKeeper
 from endivespindle.node.receipts import ReceiptFiles
-from endivespindle.platform.interfaces import UsageInterface
-from endivespindle.platform.object_store import ObjectStore
-from endivespindle.platform.update import read_object, update_object
 from endivespindle.schema.generated.stored import (
     UsageClosing,
     UsagePart,
     WindowFreeze,
 )
+from endivespindle.store.interfaces import UsageInterface
+from endivespindle.store.object_store import ObjectStore
+from endivespindle.store.update import read_object, update_object
 from endivespindle.usage.closing import (
     CORRECTION_WINDOWS,
     CreateFreeze,
--- a/endivespindle/node/weights_role.py
+++ b/endivespindle/node/weights_role.py
@@ -9,14 +9,14 @@
 from endivespindle.node.context import NodeContext
 from endivespindle.node.delivery_log import TRAINER_KIND
 from endivespindle.node.lease_keeper import LeaseKeeper
-from endivespindle.platform.kind_watch import KindWatch
-from endivespindle.platform.object_store import ObjectStore
-from endivespindle.platform.update import read_object
 from endivespindle.routing.tracker import ServerTracker
 from endivespindle.schema.generated.backend import EngineOrder, OrderAction
 from endivespindle.schema.generated.caller import RunState
 from endivespindle.schema.generated.register import Rules, Trainer
 from endivespindle.schema.generated.stored import TrainerState
+from endivespindle.store.kind_watch import KindWatch
+from endivespindle.store.object_store import ObjectStore
+from endivespindle.store.update import read_object
 from endivespindle.weights.swap_plan import (
     EngineVersion,
     SwapLimits,
--- a/endivespindle/standins/memory_store.py
+++ b/endivespindle/standins/memory_store.py
@@ -9,13 +9,13 @@
     ConflictError,
     PlatformUnavailableError,
 )
-from endivespindle.platform.object_store import (
+from endivespindle.standins.faults import PlatformFaults
+from endivespindle.store.object_store import (
     ObjectList,
     ObjectStore,
     StoredObject,
     WatchEvents,
 )
-from endivespindle.standins.faults import PlatformFaults
 
 __all__ = ["MemoryObjectStore"]
 
--- a/endivespindle/standins/tests/test_apply_register.py
+++ b/endivespindle/standins/tests/test_apply_register.py
@@ -4,13 +4,13 @@
 
 from endivespindle.core.ids import SeededIdSource
 from endivespindle.exceptions import AnswerLostError, CheckError
-from endivespindle.platform.apply import (
+from endivespindle.register.in_force import RevisionInForce
+from endivespindle.standins.memory_store import MemoryObjectStore
+from endivespindle.store.apply import (
     ROOT_KIND,
     apply_register,
     read_register,
 )
-from endivespindle.register.in_force import RevisionInForce
-from endivespindle.standins.memory_store import MemoryObjectStore
 
 
 def _document(*services: str) -> dict:
--- a/endivespindle/standins/tests/test_capacity_role.py
+++ b/endivespindle/standins/tests/test_capacity_role.py
@@ -11,7 +11,6 @@
 from endivespindle.node.capacity_role import CapacityRole
 from endivespindle.node.context import NodeContext
 from endivespindle.node.lease_keeper import LeaseKeeper
-from endivespindle.platform.interfaces import CapacityInterface
 from endivespindle.schema.generated.backend import CapacityOrder
 from endivespindle.schema.generated.settings import (
     KeySettings,
@@ -22,6 +21,7 @@
     VmSettings,
 )
 from endivespindle.standins.memory_store import MemoryObjectStore
+from endivespindle.store.interfaces import CapacityInterface
 
 _SECRET = "0123456789abcdef0123"
 _TAKE_OVER_S = 7.7
--- a/endivespindle/standins/tests/test_platform_gate.py
+++ b/endivespindle/standins/tests/test_platform_gate.py
@@ -12,17 +12,17 @@
     ConflictError,
     PlatformUnavailableError,
 )
-from endivespindle.platform.breaker import Breaker
-from endivespindle.platform.budget import CallBudget, CallKind, Urgency
-from endivespindle.platform.budgeted_store import (
+from endivespindle.schema.generated.backend import CapacityOrder
+from endivespindle.standins.memory_store import MemoryObjectStore
+from endivespindle.store.breaker import Breaker
+from endivespindle.store.budget import CallBudget, CallKind, Urgency
+from endivespindle.store.budgeted_store import (
     BudgetedCapacity,
     BudgetedStore,
 )
-from endivespindle.platform.gate import CallGate
-from endivespindle.platform.interfaces import CapacityInterface
-from endivespindle.platform.kind_watch import KindWatch
-from endivespindle.schema.generated.backend import CapacityOrder
-from endivespindle.standins.memory_store import MemoryObjectStore
+from endivespindle.store.gate import CallGate
+from endivespindle.store.interfaces import CapacityInterface
+from endivespindle.store.kind_watch import KindWatch
 
 
 class _Capacity(CapacityInterface):
--- a/endivespindle/platform/apply.py
+++ b/endivespindle/store/apply.py
@@ -13,12 +13,12 @@
     ConflictError,
     PlatformUnavailableError,
 )
-from endivespindle.platform.object_store import ObjectStore
-from endivespindle.platform.update import read_object
 from endivespindle.register.changes import changed_items
 from endivespindle.register.checking import decode_register
 from endivespindle.schema.generated.register import Register
 from endivespindle.schema.generated.stored import RegisterRoot
+from endivespindle.store.object_store import ObjectStore
+from endivespindle.store.update import read_object
 
 __all__ = [
     "REVISION_KIND",
--- a/endivespindle/platform/budgeted_store.py
+++ b/endivespindle/store/budgeted_store.py
@@ -2,26 +2,26 @@
 
 import functools
 
-from endivespindle.platform.budget import CallKind, Urgency
-from endivespindle.platform.gate import CallGate
-from endivespindle.platform.interfaces import (
+from endivespindle.schema.generated.backend import (
+    CapacityOrder,
+    CapacityState,
+    VmList,
+)
+from endivespindle.schema.generated.stored import UsageReport
+from endivespindle.store.budget import CallKind, Urgency
+from endivespindle.store.gate import CallGate
+from endivespindle.store.interfaces import (
     CapacityInterface,
     UsageInterface,
     VmListInterface,
     WeightStore,
 )
-from endivespindle.platform.object_store import (
+from endivespindle.store.object_store import (
     ObjectList,
     ObjectStore,
     StoredObject,
     WatchEvents,
 )
-from endivespindle.schema.generated.backend import (
-    CapacityOrder,
-    CapacityState,
-    VmList,
-)
-from endivespindle.schema.generated.stored import UsageReport
 
 __all__ = ["BudgetedCapacity", "BudgetedStore", "BudgetedUsage", "BudgetedVms"]
 
--- a/endivespindle/platform/gate.py
+++ b/endivespindle/store/gate.py
@@ -10,8 +10,8 @@
     PlatformError,
     PlatformUnavailableError,
 )
-from endivespindle.platform.breaker import Breaker
-from endivespindle.platform.budget import CallBudget, CallKind, Urgency
+from endivespindle.store.breaker import Breaker
+from endivespindle.store.budget import CallBudget, CallKind, Urgency
 
 __all__ = ["CallGate"]
 
--- a/endivespindle/platform/http_client.py
+++ b/endivespindle/store/http_client.py
@@ -11,18 +11,18 @@
     PlatformError,
     PlatformUnavailableError,
 )
-from endivespindle.platform.interfaces import Platform
-from endivespindle.platform.object_store import (
-    ObjectList,
-    StoredObject,
-    WatchEvents,
-)
 from endivespindle.schema.generated.backend import (
     CapacityOrder,
     CapacityState,
     VmList,
 )
 from endivespindle.schema.generated.stored import UsageReport
+from endivespindle.store.interfaces import Platform
+from endivespindle.store.object_store import (
+    ObjectList,
+    StoredObject,
+    WatchEvents,
+)
 
 __all__ = ["HttpPlatform"]
 
--- a/endivespindle/platform/interfaces.py
+++ b/endivespindle/store/interfaces.py
@@ -2,13 +2,13 @@
 
 import abc
 
-from endivespindle.platform.object_store import ObjectStore
 from endivespindle.schema.generated.backend import (
     CapacityOrder,
     CapacityState,
     VmList,
 )
 from endivespindle.schema.generated.stored import UsageReport
+from endivespindle.store.object_store import ObjectStore
 
 __all__ = [
     "Platform",
--- a/endivespindle/platform/keys.py
+++ b/endivespindle/store/keys.py
@@ -2,9 +2,9 @@
 
 from endivespindle.accounts.granting import KeyChange
 from endivespindle.core.ids import IdSource
-from endivespindle.platform.object_store import ObjectStore
-from endivespindle.platform.update import update_object
 from endivespindle.schema.generated.stored import KeyTableRoot
+from endivespindle.store.object_store import ObjectStore
+from endivespindle.store.update import update_object
 
 __all__ = ["KEYS_KIND", "KEYS_NAME", "change_keys"]
 
--- a/endivespindle/platform/kind_watch.py
+++ b/endivespindle/store/kind_watch.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterable
 
 from endivespindle.exceptions import PlatformError
-from endivespindle.platform.breaker import backoff_s
-from endivespindle.platform.object_store import ObjectStore, StoredObject
+from endivespindle.store.breaker import backoff_s
+from endivespindle.store.object_store import ObjectStore, StoredObject
 
 __all__ = ["KindWatch"]
 
--- a/endivespindle/platform/tests/test_register_machine.py
+++ b/endivespindle/store/tests/test_register_machine.py
@@ -26,14 +26,14 @@
     PlatformError,
     PlatformUnavailableError,
 )
-from endivespindle.platform.apply import (
+from endivespindle.register.in_force import RevisionInForce
+from endivespindle.schema.generated.stored import RegisterRoot
+from endivespindle.store.apply import (
     ROOT_KIND,
     apply_register,
     revision_name,
 )
-from endivespindle.platform.object_store import ObjectStore, StoredObject
-from endivespindle.register.in_force import RevisionInForce
-from endivespindle.schema.generated.stored import RegisterRoot
+from endivespindle.store.object_store import ObjectStore, StoredObject
 
 _VMS = st.integers(0, 3)
 _EXAMPLES_FACTOR = 2
--- a/endivespindle/platform/update.py
+++ b/endivespindle/store/update.py
@@ -11,7 +11,7 @@
     ConflictError,
     PlatformUnavailableError,
 )
-from endivespindle.platform.object_store import ObjectStore
+from endivespindle.store.object_store import ObjectStore
 
 __all__ = ["read_object", "update_object"]
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -11,14 +11,14 @@
 from endivespindle.accounts.granting import grant_key
 from endivespindle.core.ids import SeededIdSource
 from endivespindle.demo.load import read_toml
-from endivespindle.platform.apply import apply_register
-from endivespindle.platform.keys import change_keys
 from endivespindle.register.checking import decode_register
 from endivespindle.schema.generated.backend import VmEntry, VmState
 from endivespindle.schema.generated.register import Register, ServiceKind
 from endivespindle.standins.engine import EngineStandin
 from endivespindle.standins.platform import PlatformStandin
 from endivespindle.standins.service import ServiceStandin
+from endivespindle.store.apply import apply_register
+from endivespindle.store.keys import change_keys
 
 __all__ = ["HASH_SECRET", "Fleet", "VmProcess"]
 
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -8,8 +8,8 @@
 from endivespindle.core.ids import SeededIdSource
 from endivespindle.demo.load import read_toml
 from endivespindle.exceptions import CheckError
-from endivespindle.platform.apply import apply_register
 from endivespindle.standins.memory_store import MemoryObjectStore
+from endivespindle.store.apply import apply_register
 
 _REGISTER = (
     pathlib.Path(__file__).resolve().parents[1]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -21,8 +21,8 @@
 from endivespindle.demo.load import load_plan
 from endivespindle.gateway.tls import CertificateReloader
 from endivespindle.node.stories import Stories
-from endivespindle.platform.keys import change_keys
 from endivespindle.schema.generated.settings import ListenSettings, LogLevel
+from endivespindle.store.keys import change_keys
 from endivespindle.usage.receipts import ReceiptBook
 
 _PLAN = (
--- a/tests/test_golden_sessions.py
+++ b/tests/test_golden_sessions.py
@@ -18,11 +18,11 @@
 from endivespindle.core.ids import SeededIdSource
 from endivespindle.node.entry_vm import EntryVm
 from endivespindle.peers.transport import PeerServer
-from endivespindle.platform.apply import apply_register
-from endivespindle.platform.keys import change_keys
 from endivespindle.schema.checking import decode_document
 from endivespindle.schema.generated.settings import Settings
 from endivespindle.standins.memory_store import MemoryObjectStore
+from endivespindle.store.apply import apply_register
+from endivespindle.store.keys import change_keys
 from tests.journal import Journal
 from tests.virtual_loop import LoopClock, VirtualLoop
 from tests.virtual_network import Exchange, VirtualNetwork, VirtualPlatform
--- a/tests/test_peer_sync.py
+++ b/tests/test_peer_sync.py
@@ -12,7 +12,6 @@
 from endivespindle.node.context import NodeContext
 from endivespindle.node.payloads import MemoryPayloadStore
 from endivespindle.node.peer_sync import PeerSync
-from endivespindle.platform.interfaces import VmListInterface
 from endivespindle.schema.generated.backend import VmList
 from endivespindle.schema.generated.peer import FetchMembers, PeerReply
 from endivespindle.schema.generated.settings import (
@@ -24,6 +23,7 @@
     VmSettings,
 )
 from endivespindle.standins.memory_store import MemoryObjectStore
+from endivespindle.store.interfaces import VmListInterface
 
 SECRET = "test-secret-0123456789"
 
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -7,12 +7,6 @@
 from endivespindle.backends.interfaces import Engine, PlainService
 from endivespindle.exceptions import PlatformUnavailableError
 from endivespindle.node.network import Network
-from endivespindle.platform.interfaces import Platform
-from endivespindle.platform.object_store import (
-    ObjectList,
-    StoredObject,
-    WatchEvents,
-)
 from endivespindle.schema.generated.backend import (
     CapacityOrder,
     CapacityState,
@@ -21,6 +15,12 @@
 from endivespindle.schema.generated.settings import Settings
 from endivespindle.schema.generated.stored import UsageReport
 from endivespindle.standins.memory_store import MemoryObjectStore
+from endivespindle.store.interfaces import Platform
+from endivespindle.store.object_store import (
+    ObjectList,
+    StoredObject,
+    WatchEvents,
+)
 from tests.journal import Journal
 from tests.virtual_servers import VirtualEngines, VirtualServices
 
--- a/tools/measure_agreement.py
+++ b/tools/measure_agreement.py
@@ -27,8 +27,8 @@
 from endivespindle.leases.lease import Lease
 from endivespindle.node.entry_vm import EntryVm
 from endivespindle.node.lease_keeper import LeaseKeeper
-from endivespindle.platform.apply import apply_register
 from endivespindle.schema.generated.settings import LogLevel
+from endivespindle.store.apply import apply_register
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 _IDLE_S = 15.0
--- a/tools/measure_usage.py
+++ b/tools/measure_usage.py
@@ -21,9 +21,9 @@
 from endivespindle.core.ids import SeededIdSource
 from endivespindle.demo import deployment as demo
 from endivespindle.demo.load import load_plan
-from endivespindle.platform.keys import change_keys
 from endivespindle.schema.generated.settings import LogLevel
 from endivespindle.schema.generated.stored import UsagePart
+from endivespindle.store.keys import change_keys
 
 _EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
 _WARM_UP_S = 4.0
