--- /dev/null
+++ b/endivespindle/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: submissions, the order of their items, and their results."""
--- /dev/null
+++ b/endivespindle/batch/job.py
@@ -0,0 +1,210 @@
+"""A batch job on the node that runs it."""
+
+import enum
+from collections.abc import Sequence
+
+import msgspec
+
+from endivespindle.batch.progress import ItemOutcome, ItemResult
+from endivespindle.batch.submission import BatchItem, BatchSubmission
+from endivespindle.serving.calls import StreamEvent
+
+__all__ = ["ItemPhase", "ItemState", "JobState", "page"]
+
+
+class ItemPhase(enum.StrEnum):
+    """Where an item stands."""
+
+    WAITING = "waiting"
+    GENERATING = "generating"
+    SCORING = "scoring"
+    ENDED = "ended"
+
+
+class ItemState:
+    """One item and the text that it has so far.
+
+    Attributes:
+        item: The item.
+        phase: Where it stands.
+        pieces: Data of the events received, in order.
+        versions: Weight versions that generated them, in order.
+        server: Name of the server that generated the last of them.
+        failures: Answers of 500 so far.
+        reward_failures: Answers of 500 to its reward call so far.
+        not_before_s: Monotonic time before which it is not tried again.
+    """
+
+    __slots__ = (
+        "failures",
+        "item",
+        "not_before_s",
+        "phase",
+        "pieces",
+        "reward_failures",
+        "server",
+        "versions",
+    )
+
+    def __init__(self, *, item: BatchItem):
+        self.item = item
+        self.phase = ItemPhase.WAITING
+        self.pieces: list[str] = []
+        self.versions: list[int] = []
+        self.server = ""
+        self.failures = 0
+        self.reward_failures = 0
+        self.not_before_s = 0.0
+
+    def take(self, event: StreamEvent, version: int) -> bool:
+        """Takes in an event; tells whether it is the one that follows."""
+        if event.event_id != len(self.pieces) + 1:
+            return False
+        self.pieces.append(event.data)
+        if not self.versions or self.versions[-1] != version:
+            self.versions.append(version)
+        return True
+
+    def forget_text(self) -> None:
+        """Starts the text anew."""
+        self.pieces.clear()
+        self.versions.clear()
+
+
+class JobState:
+    """A batch job, its items, and its results.
+
+    Results are kept in the order in which they are listed. Those that the
+    store has not acknowledged are not shown to anybody.
+
+    Args:
+        submission: The job as accepted.
+        results: Results listed so far.
+        ended: Whether the job was ended.
+
+    Attributes:
+        submission: The job as accepted.
+        ended: Whether the job was ended.
+        items: Items that are not listed yet, by identity.
+    """
+
+    __slots__ = ("_fresh", "_listed", "ended", "items", "submission")
+
+    def __init__(
+        self,
+        *,
+        submission: BatchSubmission,
+        results: Sequence[ItemResult] = (),
+        ended: bool = False,
+    ):
+        self.submission = submission
+        self.ended = ended
+        self._listed = list(results)
+        self._fresh: list[ItemResult] = []
+        done = {result.item_id for result in results}
+        self.items = {
+            item.item_id: ItemState(item=item)
+            for item in submission.items
+            if item.item_id not in done
+        }
+
+    @property
+    def total(self) -> int:
+        """Number of items."""
+        return len(self.submission.items)
+
+    @property
+    def listed(self) -> Sequence[ItemResult]:
+        """Results that the store acknowledged, in order."""
+        return self._listed
+
+    @property
+    def fresh(self) -> Sequence[ItemResult]:
+        """Results that the store has not acknowledged, in order."""
+        return self._fresh
+
+    @property
+    def is_complete(self) -> bool:
+        """Tells whether every item is listed."""
+        return len(self._listed) == self.total
+
+    def waiting(self) -> list[ItemState]:
+        """Returns the items that could be sent to a server."""
+        if self.ended:
+            return []
+        return [
+            state
+            for state in self.items.values()
+            if state.phase is ItemPhase.WAITING
+        ]
+
+    def body(self, item_id: str) -> bytes | None:
+        """Returns the body of an item, listed or not; None if unknown."""
+        for item in self.submission.items:
+            if item.item_id == item_id:
+                return item.body
+        return None
+
+    def completed(self, state: ItemState, *, score: str) -> None:
+        """Records the whole text of an item."""
+        self._record(
+            state,
+            ItemResult(
+                item_id=state.item.item_id,
+                outcome=ItemOutcome.COMPLETE,
+                text="\n".join(state.pieces),
+                versions=tuple(dict.fromkeys(state.versions)),
+                score=score,
+            ),
+        )
+
+    def terminated(self, state: ItemState) -> None:
+        """Records that an item was given up."""
+        self._record(
+            state,
+            ItemResult(
+                item_id=state.item.item_id, outcome=ItemOutcome.TERMINATED
+            ),
+        )
+
+    def acknowledged(self, count: int) -> None:
+        """Notes that the store holds the first of the fresh results."""
+        for result in self._fresh[:count]:
+            self.items.pop(result.item_id, None)
+        self._listed += self._fresh[:count]
+        del self._fresh[:count]
+
+    def is_over(self, state: ItemState, *, now_ms: int) -> bool:
+        """Tells whether an item has waited as long as it may."""
+        age_s = (now_ms - self.submission.submitted_ms) / 1000
+        return age_s >= self.submission.max_wait_s > 0
+
+    def may_fail_again(self, state: ItemState) -> bool:
+        """Tells whether a failed item may be sent once more."""
+        return state.failures < max(1, self.submission.max_attempts)
+
+    def _record(self, state: ItemState, result: ItemResult) -> None:
+        if state.phase is ItemPhase.ENDED:
+            return
+        state.phase = ItemPhase.ENDED
+        self._fresh.append(result)
+
+
+def page(
+    results: Sequence[ItemResult], *, after: int, max_bytes: int
+) -> Sequence[ItemResult]:
+    """Returns results from a position on, at least one and not too large.
+
+    Args:
+        results: All results.
+        after: Position of the first one wanted, from 0.
+        max_bytes: Largest answer, by the size of its texts.
+    """
+    size = 0
+    end = after
+    for result in results[after:]:
+        size += len(msgspec.json.encode(result))
+        if size > max_bytes and end > after:
+            break
+        end += 1
+    return results[after:end]
--- a/endivespindle/cli/main.py
+++ b/endivespindle/cli/main.py
@@ -9,6 +9,7 @@
 from endivespindle.cli import keys, register, settings, usage
 from endivespindle.cli.bench import bench
 from endivespindle.cli.demo import demo
+from endivespindle.cli.node import node
 from endivespindle.cli.output import ExitCode, print_findings
 from endivespindle.cli.serve import serve
 from endivespindle.cli.vm import explain, status
@@ -29,6 +30,7 @@
     result_action="return_value",
 )
 app.command(serve)
+app.command(node)
 app.command(demo)
 app.command(bench)
 app.command(status)
--- a/endivespindle/leases/lease.py
+++ b/endivespindle/leases/lease.py
@@ -180,6 +180,10 @@
         record = self._record
         if record is None or not record.holder:
             return True
+        if record.holder == self._holder:
+            # A holder named by its VM alone is an earlier process of it,
+            # which is gone.
+            return True
         waited_s = self._clock.monotonic() - self._first_seen_s
         wait_s = (record.term_s + self._max_send_s) * (1 + _CLOCK_DRIFT)
         return waited_s >= wait_s
--- a/endivespindle/node/lease_keeper.py
+++ b/endivespindle/node/lease_keeper.py
@@ -3,27 +3,16 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-import msgspec
-
-from endivespindle.core.digests import canonical_json
-from endivespindle.exceptions import (
-    AnswerLostError,
-    ConflictError,
-    LeaseLostError,
-    PlatformError,
-    PlatformUnavailableError,
-)
-from endivespindle.leases.lease import Lease, LeaseWrite
+from endivespindle.exceptions import LeaseLostError, PlatformError
+from endivespindle.leases.lease import Lease
 from endivespindle.node.context import NodeContext
 from endivespindle.peers.tasks import end_tasks
-from endivespindle.schema.generated.stored import Intent, LeaseRecord
+from endivespindle.schema.generated.stored import Intent
+from endivespindle.store.held_lease import LEASE_KIND, HeldLease
 from endivespindle.store.object_store import ObjectStore
-from endivespindle.store.update import read_object
 
 __all__ = ["LEASE_KIND", "LeaseKeeper"]
 
-LEASE_KIND = "lease"
-
 _RENEWALS_PER_TERM = 3
 _STANDBYS = 2
 
@@ -43,7 +32,7 @@
         max_send_s: Longest send deadline of an act under the lease.
     """
 
-    __slots__ = ("_ctx", "_lock", "_store", "lease", "shard")
+    __slots__ = ("_ctx", "_held", "lease", "shard")
 
     def __init__(
         self,
@@ -54,8 +43,6 @@
         max_send_s: float = 0.0,
     ):
         self._ctx = ctx
-        self._store = store
-        self._lock = asyncio.Lock()
         self.shard = shard
         self.lease = Lease(
             holder=f"{ctx.settings.vm.name}/{ctx.incarnation}",
@@ -63,6 +50,9 @@
             term_s=ctx.settings.platform.lease_term_s,
             max_send_s=max_send_s,
         )
+        self._held = HeldLease(
+            lease=self.lease, store=store, name=shard, ids=ctx.ids
+        )
 
     async def run(self, role: Role) -> None:
         """Runs a role whenever this VM holds the lease."""
@@ -82,7 +72,7 @@
         finally:
             if task is not None:
                 await end_tasks([task])
-            await self._release()
+            await self._held.release()
 
     async def record_intent(self, intent: Intent) -> None:
         """Writes an intent under the lease's own conditional update.
@@ -90,14 +80,7 @@
         Raises:
             LeaseLostError: The lease does not hold.
         """
-        async with self._lock:
-            if not self.lease.held():
-                raise LeaseLostError(self.shard)
-            if self.lease.in_doubt():
-                await self._read()
-            await self._write(intent)
-        if not self.lease.held() or not self.lease.has_recorded(intent):
-            raise LeaseLostError(self.shard)
+        await self._held.record_intent(intent)
 
     async def _guard(self, role: Role) -> None:
         self._ctx.log.info(
@@ -115,49 +98,9 @@
         return self._ctx.settings.vm.name in rank[: 1 + _STANDBYS]
 
     async def _refresh(self) -> None:
-        async with self._lock:
-            try:
-                if self.lease.in_doubt() or not self.lease.held():
-                    await self._read()
-                await self._write(None)
-            except PlatformError as exc:
-                self._ctx.log.debug(
-                    "lease_unreached", shard=self.shard, error=str(exc)
-                )
-
-    async def _read(self) -> None:
-        record, version = await read_object(
-            self._store, kind=LEASE_KIND, name=self.shard, cls=LeaseRecord
-        )
-        self.lease.observe(record, version)
-
-    async def _write(self, intent: Intent | None) -> None:
-        write = self.lease.next_write(
-            token=self._ctx.ids.new("l"), intent=intent
-        )
-        if write is None:
-            return
-        try:
-            self.lease.written(await self._put(write))
-        except (ConflictError, AnswerLostError):
-            self.lease.doubted()
-            await self._read()
-        except PlatformUnavailableError:
-            self.lease.failed()
-
-    async def _release(self) -> None:
-        write = self.lease.release_write(token=self._ctx.ids.new("l"))
-        if write is None:
-            return
         try:
-            await self._put(write)
-        except PlatformError:
-            return
-
-    async def _put(self, write: LeaseWrite) -> int:
-        return await self._store.put(
-            kind=LEASE_KIND,
-            name=self.shard,
-            value=canonical_json(msgspec.to_builtins(write.record)),
-            expect_version=write.expect_version,
-        )
+            await self._held.refresh()
+        except PlatformError as exc:
+            self._ctx.log.debug(
+                "lease_unreached", shard=self.shard, error=str(exc)
+            )
--- /dev/null
+++ b/endivespindle/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the product's types and the users' platform."""
--- /dev/null
+++ b/endivespindle/platform/headers.py
@@ -0,0 +1,162 @@
+"""Headers of callers and backend servers on the users' platform."""
+
+from collections.abc import Iterable, Mapping
+
+from endivespindle.runtime.caller_request import CallerHints
+from endivespindle.serving.calls import AnswerHead, ServerCall, ServerLoad
+from endivespindle.serving.directory import ServerEntry
+
+__all__ = [
+    "answer_head",
+    "answers_request",
+    "call_headers",
+    "caller_hints",
+    "end_to_end",
+    "weight_version",
+]
+
+_REQUEST_ID = "X-Request-Id"
+_DEADLINE_MS = "X-Deadline-Ms"
+_LAST_EVENT_ID = "Last-Event-Id"
+_CLIENT_ACCOUNT = "X-Tenant"
+_EXPECT_SERVER = "X-Expect-Instance"
+_SIGNATURE = "X-Server-Stamp"
+_LOAD = "X-Server-Load"
+_NOT_RUN = "X-Not-Executed"
+_WEIGHT_VERSION = "X-Weight-Versions"
+_URGENCY = "X-Request-Priority"
+_WAIT_MS = "X-Wait-Ms"
+_AUTHORIZATION = "Authorization"
+_KEY_SCHEME = "bearer "
+_MISDIRECTED = 421
+
+# Concern one connection only (RFC 9110, section 7.6.1), or are computed anew.
+_PER_CONNECTION = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Set by the system alone, whatever a caller sent.
+_OWN = frozenset(
+    name.lower()
+    for name in (
+        _AUTHORIZATION,
+        _CLIENT_ACCOUNT,
+        _DEADLINE_MS,
+        _EXPECT_SERVER,
+        _LAST_EVENT_ID,
+        _REQUEST_ID,
+        _URGENCY,
+    )
+)
+
+
+def end_to_end(
+    headers: Iterable[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Returns the headers that are not the connection's own."""
+    pairs = list(headers)
+    named = {
+        token.strip().lower()
+        for name, value in pairs
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    return [
+        (name, value)
+        for name, value in pairs
+        if name.lower() not in _PER_CONNECTION and name.lower() not in named
+    ]
+
+
+def caller_hints(headers: Mapping[str, str]) -> CallerHints:
+    """Reads what a caller says of its request."""
+    key = headers.get(_AUTHORIZATION, "")
+    if key[: len(_KEY_SCHEME)].lower() == _KEY_SCHEME:
+        key = key[len(_KEY_SCHEME) :].strip()
+    else:
+        key = ""
+    return CallerHints(
+        request_id=headers.get(_REQUEST_ID, ""),
+        key=key,
+        deadline_s=_seconds(headers.get(_DEADLINE_MS)),
+        wait_s=_seconds(headers.get(_WAIT_MS)),
+        last_event_id=headers.get(_LAST_EVENT_ID),
+    )
+
+
+def call_headers(
+    call: ServerCall, server: ServerEntry
+) -> list[tuple[str, str]]:
+    """Returns the headers of a request to a backend server."""
+    headers = [
+        (name, value)
+        for name, value in end_to_end(call.headers)
+        if name.lower() not in _OWN
+    ]
+    headers.append(("Host", call.host))
+    headers.append((_REQUEST_ID, call.request_id))
+    headers.append((_EXPECT_SERVER, server.name))
+    if call.client_account:
+        headers.append((_CLIENT_ACCOUNT, call.client_account))
+    if call.deadline_s is not None:
+        left_ms = max(1, int(call.deadline_s * 1000))
+        headers.append((_DEADLINE_MS, str(left_ms)))
+    if call.last_event_id is not None:
+        headers.append((_LAST_EVENT_ID, call.last_event_id))
+    if call.urgency is not None:
+        headers.append((_URGENCY, str(call.urgency)))
+    return headers
+
+
+def answer_head(
+    status: int, headers: Mapping[str, str], pairs: Iterable[tuple[str, str]]
+) -> AnswerHead:
+    """Reads the head of a backend server's answer."""
+    return AnswerHead(
+        status=status,
+        headers=end_to_end(pairs),
+        not_run=_NOT_RUN in headers or status == _MISDIRECTED,
+        signature=headers.get(_SIGNATURE, ""),
+        weight_version=weight_version(headers.get(_WEIGHT_VERSION)),
+        load=_load(headers.get(_LOAD)),
+    )
+
+
+def answers_request(headers: Mapping[str, str], request_id: str) -> bool:
+    """Tells whether an answer names the request it was read for."""
+    return headers.get(_REQUEST_ID, request_id) == request_id
+
+
+def weight_version(text: str | None) -> int | None:
+    """Reads a weight version; None if there is none."""
+    text = (text or "").strip()
+    return int(text) if text.isdecimal() else None
+
+
+def _load(text: str | None) -> ServerLoad | None:
+    """Reads the numbers running, waiting and of slots."""
+    parts = [part.strip() for part in (text or "").split(",")]
+    if len(parts) < 2 or not all(part.isdecimal() for part in parts):
+        return None
+    return ServerLoad(running=int(parts[0]), waiting=int(parts[1]))
+
+
+def _seconds(text: str | None) -> float | None:
+    """Reads milliseconds; what is malformed counts as not sent."""
+    try:
+        value = float(text) / 1000 if text else None
+    except ValueError:
+        return None
+    return value if value is not None and 0 <= value < float("inf") else None
--- /dev/null
+++ b/endivespindle/platform/jobs.py
@@ -0,0 +1,161 @@
+"""Bodies of batch job calls on the users' platform."""
+
+import base64
+import binascii
+from collections.abc import Sequence
+
+import msgspec
+
+from endivespindle.batch.progress import ItemResult
+from endivespindle.batch.submission import (
+    BatchItem,
+    BatchSubmission,
+    ScoreCall,
+)
+from endivespindle.exceptions import MessageError
+from endivespindle.serving.configuration import Route
+
+__all__ = ["decode_submission", "encode_page", "job_call"]
+
+_JOB_PREFIX = "/lots/"
+_ITEM_PREFIX = "/items/"
+# The trainer's estimate of the output tokens.
+_LENGTH_HINT = "x-length-hint"
+
+
+class _Scorer(msgspec.Struct):
+    id: str
+    host: str
+    path: str
+    body: str
+
+
+class _Item(msgspec.Struct):
+    id: str
+    path: str
+    body: str
+    headers: dict[str, str] = {}
+    tokens: int = 0
+    group: str = ""
+    scorer: _Scorer | None = None
+
+
+class _Submission(msgspec.Struct, rename="camel"):
+    items: list[_Item]
+    step: int | None = None
+    model: str = ""
+    min_version: int = 0
+    group_count: int = 0
+
+
+class _Result(msgspec.Struct):
+    id: str
+    state: str
+    output: str
+    versions: Sequence[int]
+    score: str
+
+
+class _ResultPage(msgspec.Struct, rename="camel"):
+    total: int
+    # Position after the last result of the page; no token of any sort.
+    next_token: int
+    results: list[_Result]
+
+
+def job_call(path: str) -> tuple[str, str] | None:
+    """Returns what a path asks of a job, `job` or `item`, and the job's id."""
+    for prefix, what in ((_JOB_PREFIX, "job"), (_ITEM_PREFIX, "item")):
+        rest = path.removeprefix(prefix)
+        if rest != path and rest and "/" not in rest:
+            return what, rest
+    return None
+
+
+def decode_submission(
+    body: bytes,
+    *,
+    job_id: str,
+    client_account: str,
+    route: Route,
+    service: str,
+    path: str,
+    submitted_ms: int,
+    owner: str,
+) -> BatchSubmission:
+    """Decodes the body of a submission.
+
+    Raises:
+        MessageError: It is malformed.
+    """
+    try:
+        doc = msgspec.json.decode(body, type=_Submission)
+        items = [_item(item) for item in doc.items]
+    except (msgspec.MsgspecError, UnicodeDecodeError, binascii.Error) as exc:
+        raise MessageError(str(exc)) from exc
+    if len({item.item_id for item in items}) != len(items):
+        raise MessageError("two items have the same id")
+    return BatchSubmission(
+        job_id=job_id,
+        client_account=client_account,
+        host=route.host,
+        path=path,
+        service=service,
+        submitted_ms=submitted_ms,
+        due_s=route.due_s,
+        max_wait_s=route.max_wait_s,
+        max_attempts=route.max_attempts,
+        single_version=route.single_version,
+        first_owner=owner,
+        items=items,
+        step=doc.step,
+        model=doc.model,
+        min_version=doc.min_version,
+        group_count=doc.group_count,
+    )
+
+
+def encode_page(
+    *, total: int, after: int, results: Sequence[ItemResult]
+) -> bytes:
+    """Encodes results from a position on."""
+    return msgspec.json.encode(
+        _ResultPage(
+            total=total,
+            next_token=after + len(results),
+            results=[
+                _Result(
+                    id=r.item_id,
+                    state=r.outcome.value,
+                    output=r.text,
+                    versions=r.versions,
+                    score=r.score,
+                )
+                for r in results
+            ],
+        )
+    )
+
+
+def _item(doc: _Item) -> BatchItem:
+    hint = next(
+        (v for k, v in doc.headers.items() if k.lower() == _LENGTH_HINT), ""
+    )
+    score = None
+    if doc.scorer is not None:
+        score = ScoreCall(
+            call_id=doc.scorer.id,
+            host=doc.scorer.host,
+            path=doc.scorer.path,
+            body=base64.b64decode(doc.scorer.body, validate=True),
+        )
+    return BatchItem(
+        item_id=doc.id,
+        path=doc.path,
+        headers=doc.headers,
+        body=base64.b64decode(doc.body, validate=True),
+        tokens=doc.tokens,
+        group=doc.group,
+        score=score,
+        hint=int(hint) if hint.isdecimal() else 0,
+    )
--- /dev/null
+++ b/endivespindle/platform/objects.py
@@ -0,0 +1,225 @@
+"""The platform's object API, as an `ObjectStore`."""
+
+from typing import Any, TypeVar
+
+import aiohttp
+import msgspec
+
+from endivespindle.exceptions import (
+    AnswerLostError,
+    ConflictError,
+    PlatformError,
+    PlatformUnavailableError,
+)
+from endivespindle.store.object_store import (
+    ObjectList,
+    StatusStore,
+    StoredObject,
+    WatchEvents,
+)
+
+__all__ = ["PlatformObjects"]
+
+_GONE = 410
+_CONFLICT = 409
+_MISSING = 404
+# Answers that promise that nothing was done.
+_NOT_DONE = frozenset({429, 503})
+# Time beyond a watch's own wait after which its connection counts as lost.
+_WATCH_SLACK_S = 1.5
+
+T = TypeVar("T")
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+    revision: int
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    # What the writer keeps; the product's value.
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _Page(msgspec.Struct, rename="camel"):
+    items: list[_Object]
+    store_revision: int
+    # Whether there are more objects after the last name of this page.
+    truncated: bool = False
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    # Whether the object was removed.
+    tombstone: bool = False
+
+
+class _Events(msgspec.Struct, rename="camel"):
+    events: list[_Event]
+    store_revision: int
+
+
+class PlatformObjects(StatusStore):
+    """Speaks to the object API; values are the objects' `spec`.
+
+    Args:
+        session: Pools connections; must not repeat calls by itself.
+        base_url: Address of the API.
+        timeout_s: Seconds after which a call counts as lost.
+    """
+
+    __slots__ = ("_base_url", "_session", "_timeout_s")
+
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        timeout_s: float,
+    ):
+        self._session = session
+        self._base_url = base_url
+        self._timeout_s = timeout_s
+
+    async def get(self, *, kind: str, name: str) -> StoredObject | None:
+        """Returns an object, or None if there is none."""
+        status, body = await self._call("GET", f"/{kind}/{name}")
+        if status == _MISSING:
+            return None
+        return _stored(kind, _decode(body, _Object))
+
+    async def list_objects(self, *, kind: str, prefix: str = "") -> ObjectList:
+        """Returns the objects of a kind whose names start with a prefix."""
+        found: list[StoredObject] = []
+        params: dict[str, str] = {}
+        first_revision: int | None = None
+        while True:
+            _, body = await self._call("GET", f"/{kind}", params=params)
+            page = _decode(body, _Page)
+            if first_revision is None:
+                first_revision = page.store_revision
+            found += [_stored(kind, obj) for obj in page.items]
+            if not page.truncated or not page.items:
+                break
+            params = {"after": page.items[-1].metadata.name}
+        # A change between two pages must be seen by the watch that follows.
+        return ObjectList(
+            version=first_revision,
+            objects=[obj for obj in found if obj.name.startswith(prefix)],
+        )
+
+    async def put(
+        self, *, kind: str, name: str, value: bytes, expect_version: int
+    ) -> int:
+        """Writes an object if it still has a version."""
+        metadata: dict[str, Any] = {"name": name}
+        method, path = "POST", f"/{kind}"
+        if expect_version:
+            metadata["revision"] = expect_version
+            method, path = "PUT", f"/{kind}/{name}"
+        body = {"metadata": metadata, "spec": msgspec.Raw(value)}
+        return await self._write(method, path, body)
+
+    async def put_status(self, *, kind: str, name: str, value: bytes) -> None:
+        """Replaces the status of an object that another writer keeps."""
+        body = {"metadata": {"name": name}, "status": msgspec.Raw(value)}
+        await self._write("PUT", f"/{kind}/{name}/status", body)
+
+    async def delete(
+        self, *, kind: str, name: str, expect_version: int
+    ) -> None:
+        """Deletes an object if it still has a version."""
+        status, _ = await self._call(
+            "DELETE",
+            f"/{kind}/{name}",
+            params={"revision": str(expect_version)},
+        )
+        if status == _CONFLICT:
+            raise ConflictError(f"{kind}/{name}")
+
+    async def watch(
+        self, *, kind: str, after: int, wait_s: float
+    ) -> WatchEvents:
+        """Waits for changes of a kind after a version."""
+        status, body = await self._call(
+            "GET",
+            f"/{kind}",
+            params={"watch": str(after), "waitMs": str(int(wait_s * 1000))},
+            timeout_s=wait_s + _WATCH_SLACK_S,
+        )
+        if status == _GONE:
+            return WatchEvents(version=after, objects=[], lost=True)
+        events = _decode(body, _Events)
+        return WatchEvents(
+            version=events.store_revision,
+            objects=[
+                _stored(kind, event.object, removed=event.tombstone)
+                for event in events.events
+            ],
+        )
+
+    async def _write(self, method: str, path: str, doc: dict[str, Any]) -> int:
+        status, body = await self._call(
+            method, path, data=msgspec.json.encode(doc)
+        )
+        if status in (_CONFLICT, _MISSING):
+            raise ConflictError(f"{method} {path}: {status}")
+        return _decode(body, _Object).metadata.revision
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        data: bytes | None = None,
+        params: dict[str, str] | None = None,
+        timeout_s: float | None = None,
+    ) -> tuple[int, bytes]:
+        """Makes one call; returns its status and body."""
+        what = f"{method} {path}"
+        headers = {"Content-Type": "application/json"} if data else None
+        try:
+            async with self._session.request(
+                method,
+                f"{self._base_url}/objects{path}",
+                params=params,
+                data=data,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(
+                    total=timeout_s or self._timeout_s
+                ),
+                allow_redirects=False,
+            ) as resp:
+                body = await resp.read()
+        except aiohttp.ClientConnectorError as exc:
+            raise PlatformUnavailableError(f"{what}: {exc}") from exc
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            raise AnswerLostError(f"{what}: {exc!r}") from exc
+        if resp.status in _NOT_DONE:
+            raise PlatformUnavailableError(f"{what}: status {resp.status}")
+        if resp.status >= 500:
+            raise AnswerLostError(f"{what}: status {resp.status}")
+        if resp.status >= 400 and resp.status not in (
+            _MISSING,
+            _CONFLICT,
+            _GONE,
+        ):
+            raise PlatformError(f"{what}: status {resp.status}: {body[:200]!r}")
+        return resp.status, body
+
+
+def _stored(kind: str, obj: _Object, *, removed: bool = False) -> StoredObject:
+    return StoredObject(
+        kind=kind,
+        name=obj.metadata.name,
+        version=obj.metadata.revision,
+        value=None if removed else bytes(obj.spec),
+    )
+
+
+def _decode(body: bytes, cls: type[T]) -> T:
+    try:
+        return msgspec.json.decode(body, type=cls)
+    except msgspec.MsgspecError as exc:
+        raise AnswerLostError(f"malformed answer: {exc}") from exc
--- /dev/null
+++ b/endivespindle/platform/operations.py
@@ -0,0 +1,89 @@
+"""The platform's operations API: usage reports and capacity orders."""
+
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from endivespindle.controller.duties import (
+    CapacityRequest,
+    DutyAnswer,
+    Fence,
+    Operations,
+    UsageWindowReport,
+)
+from endivespindle.exceptions import AnswerLostError, PlatformUnavailableError
+
+__all__ = ["PlatformOperations"]
+
+_ANSWERS = {
+    200: DutyAnswer.TAKEN,
+    201: DutyAnswer.TAKEN,
+    202: DutyAnswer.TAKEN,
+    409: DutyAnswer.NONE_AVAILABLE,
+    412: DutyAnswer.FENCED,
+}
+_BUSY = frozenset({429, 503})
+
+
+class PlatformOperations(Operations):
+    """Makes the calls that one holder at a time may make.
+
+    Args:
+        session: Opens a connection for each call, so that a call that was
+            given up cannot arrive later.
+        base_url: Address of the API.
+    """
+
+    __slots__ = ("_base_url", "_session")
+
+    def __init__(self, *, session: aiohttp.ClientSession, base_url: str):
+        self._session = session
+        self._base_url = base_url
+
+    async def report_usage(
+        self, report: UsageWindowReport, *, fence: Fence, timeout_s: float
+    ) -> DutyAnswer:
+        """Reports the requests of one window."""
+        body = {"windowId": report.window, "counts": report.requests}
+        return await self._call("/usage", body, fence, timeout_s)
+
+    async def order_capacity(
+        self, order: CapacityRequest, *, fence: Fence, timeout_s: float
+    ) -> DutyAnswer:
+        """Orders a number of backend servers for one data centre."""
+        body: dict[str, Any] = {
+            "service": order.service,
+            "zone": order.data_centre,
+            # The platform's name for the number of servers wanted.
+            "groupCount": order.servers,
+        }
+        if order.spot:
+            body["spot"] = True
+        return await self._call("/scale", body, fence, timeout_s)
+
+    async def _call(
+        self, path: str, body: dict[str, Any], fence: Fence, timeout_s: float
+    ) -> DutyAnswer:
+        try:
+            async with self._session.post(
+                self._base_url + path,
+                data=msgspec.json.encode(body),
+                headers={
+                    "Content-Type": "application/json",
+                    "X-Duty-Holder": fence.holder,
+                    "X-Fencing-Token": str(fence.epoch),
+                },
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+                allow_redirects=False,
+            ) as resp:
+                await resp.read()
+        except aiohttp.ClientConnectorError as exc:
+            raise PlatformUnavailableError(f"{path}: {exc}") from exc
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            raise AnswerLostError(f"{path}: {exc!r}") from exc
+        if resp.status in _BUSY:
+            raise PlatformUnavailableError(f"{path}: status {resp.status}")
+        if resp.status >= 500:
+            raise AnswerLostError(f"{path}: status {resp.status}")
+        return _ANSWERS.get(resp.status, DutyAnswer.REJECTED)
--- /dev/null
+++ b/endivespindle/platform/servers.py
@@ -0,0 +1,192 @@
+"""Backend servers over HTTP, as the users' platform speaks it."""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+import aiohttp
+import msgspec
+import yarl
+
+from endivespindle.backends.sessions import ConnectionCount
+from endivespindle.core.reasons import Reason
+from endivespindle.exceptions import BackendServerError
+from endivespindle.platform.event_stream import EventCutter
+from endivespindle.platform.headers import (
+    answer_head,
+    answers_request,
+    call_headers,
+)
+from endivespindle.schema.generated.caller import RunState
+from endivespindle.serving.calls import (
+    Answer,
+    AnswerHead,
+    OrderAnswer,
+    ServerApi,
+    ServerCall,
+    StreamEvent,
+    VersionOrder,
+)
+from endivespindle.serving.directory import ServerEntry
+
+__all__ = ["PlatformServers"]
+
+# A connection that is not open after this long goes to a server that is gone
+# or cut off: the round trip within a region is a few milliseconds.
+_CONNECT_TIMEOUT_S = 0.6
+_READ_BYTES = 65_536
+# A stream that says nothing for this long comes from a server that fell
+# silent: the longest pause in sound streams is a weight change, 0.9 s and
+# more while several servers load.
+_SILENCE_TIMEOUT_S = 4.0
+_ACCEPTED = frozenset({200, 202})
+_CONFLICT = 409
+_SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+class PlatformServers(ServerApi):
+    """Speaks to backend servers.
+
+    Args:
+        session: Pools connections; for what may be repeated.
+        single_use: Closes each connection after one exchange; for what may
+            not, as the library repeats some methods by itself.
+    """
+
+    __slots__ = ("_session", "_single_use")
+
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        single_use: aiohttp.ClientSession,
+    ):
+        self._session = session
+        self._single_use = single_use
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self, server: ServerEntry, call: ServerCall, *, timeout_s: float | None
+    ) -> AsyncIterator[Answer]:
+        """Sends a request and returns its answer once the head is in."""
+        session = self._session if call.may_repeat else self._single_use
+        try:
+            resp = await session.request(
+                call.method,
+                _url(server, call.target),
+                headers=call_headers(call, server),
+                data=call.body or None,
+                skip_auto_headers=_SKIPPED,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=timeout_s,
+                    sock_connect=_CONNECT_TIMEOUT_S,
+                    sock_read=_SILENCE_TIMEOUT_S,
+                ),
+                trace_request_ctx=ConnectionCount(),
+            )
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as exc:
+            raise BackendServerError(
+                f"unreachable: {exc!r}",
+                ran=RunState.NOT_RUN,
+                reason=Reason.BACKEND_UNREACHABLE,
+            ) from exc
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            raise _lost(repr(exc)) from exc
+        try:
+            if not answers_request(resp.headers, call.request_id):
+                raise BackendServerError(
+                    "the answer names another request",
+                    ran=RunState.UNKNOWN,
+                    reason=Reason.ANSWER_MISMATCH,
+                )
+            yield _HttpAnswer(resp)
+        finally:
+            if resp.content.at_eof() and resp.content.exception() is None:
+                resp.release()
+            else:
+                resp.close()
+
+    async def order_version(
+        self, server: ServerEntry, order: VersionOrder, *, timeout_s: float
+    ) -> OrderAnswer:
+        """Sends an order; an accepted one may still be under way."""
+        call = ServerCall(
+            request_id=f"order-{order.epoch}-{order.model}-{order.version}",
+            method="POST",
+            target="/order",
+            host=server.address,
+            headers=(("Content-Type", "application/json"),),
+            body=msgspec.json.encode(
+                {
+                    "operation": "version",
+                    "model": order.model,
+                    "version": order.version,
+                    # Running requests go on under the new version.
+                    "mode": "retain",
+                    "owner": order.holder,
+                    "fencingToken": order.epoch,
+                }
+            ),
+            may_repeat=False,
+        )
+        async with self.send(server, call, timeout_s=timeout_s) as answer:
+            await answer.read()
+            status = answer.head.status
+        if answer.head.not_run:
+            raise BackendServerError(
+                "another server has this address",
+                ran=RunState.NOT_RUN,
+                reason=Reason.BACKEND_UNREACHABLE,
+            )
+        return OrderAnswer(
+            accepted=status in _ACCEPTED, busy=status == _CONFLICT
+        )
+
+
+class _HttpAnswer(Answer):
+    """An answer that is being read from a connection."""
+
+    __slots__ = ("_resp", "head")
+
+    def __init__(self, resp: aiohttp.ClientResponse):
+        self._resp = resp
+        self.head: AnswerHead = answer_head(
+            resp.status,
+            resp.headers,
+            [
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in resp.raw_headers
+            ],
+        )
+
+    async def read(self) -> bytes:
+        """Returns the whole body."""
+        try:
+            return await self._resp.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            raise _lost(repr(exc)) from exc
+
+    async def events(self) -> AsyncIterator[StreamEvent]:
+        """Yields the events of a stream as they come."""
+        cutter = EventCutter()
+        try:
+            async for data in self._resp.content.iter_any():
+                for event in cutter.feed(data):
+                    yield event
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            raise _lost(repr(exc)) from exc
+        if not cutter.is_whole:
+            raise _lost("the stream ended within an event")
+
+
+def _url(server: ServerEntry, target: str) -> yarl.URL:
+    return yarl.URL(f"http://{server.address}{target}", encoded=True)
+
+
+def _lost(message: str) -> BackendServerError:
+    return BackendServerError(
+        message, ran=RunState.UNKNOWN, reason=Reason.BACKEND_LOST
+    )
--- /dev/null
+++ b/endivespindle/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The process that serves the users' platform: sockets, tasks, wiring."""
--- /dev/null
+++ b/endivespindle/runtime/controller.py
@@ -0,0 +1,432 @@
+"""The role that acts for the whole fleet, one node at a time."""
+
+import asyncio
+
+import msgspec
+
+from endivespindle.backends.sessions import open_single_use_session
+from endivespindle.controller.capacity_plan import plan_capacity
+from endivespindle.controller.duties import (
+    CapacityRequest,
+    DutyAnswer,
+    Fence,
+    Operations,
+    UsageWindowReport,
+)
+from endivespindle.controller.usage_windows import WindowBook
+from endivespindle.exceptions import (
+    BackendServerError,
+    ConflictError,
+    MessageError,
+    PlatformError,
+)
+from endivespindle.leases.lease import Lease
+from endivespindle.peers.tasks import end_tasks
+from endivespindle.platform.documents import (
+    RETIREMENT_KIND,
+    VERSION_KIND,
+    decode_version,
+    encode_retirement,
+)
+from endivespindle.platform.servers import PlatformServers
+from endivespindle.runtime.context import NodeParts
+from endivespindle.runtime.following import follow_config, follow_servers
+from endivespindle.runtime.peer_calls import NodeNews
+from endivespindle.runtime.peer_server import PeerServer
+from endivespindle.runtime.settings import NodeRole
+from endivespindle.runtime.watching import KindFollower
+from endivespindle.serving.calls import VersionOrder
+from endivespindle.serving.directory import ServerDirectory
+from endivespindle.serving.in_force import ConfigInForce
+from endivespindle.store.held_lease import HeldLease
+from endivespindle.store.object_store import StatusStore, StoredObject
+from endivespindle.weights.load_plan import LoadOrder, plan_loads
+
+__all__ = ["Controller"]
+
+_LEASE_NAME = "control"
+# Margin over the time in which no two holders may take turns.
+_TERM_FACTOR = 1.05
+_RENEWALS_PER_TERM = 3
+# Longest call under the lease; well under the term, so that most of it can be
+# used.
+_ACT_TIMEOUT_S = 0.8
+_TICK_S = 0.1
+# Objects that only the holder follows, and that change rarely.
+_WATCH_WAIT_S = 10.0
+# A load that has not shown in a server's entry after this long is ordered
+# again: entries are written each 1.2 s, a load takes 0.9 s and more.
+_LOAD_PATIENCE_S = 4.0
+_FROZEN_KIND = "usage-reports"
+_CAPACITY_INTERVAL_S = 1.0
+
+
+class Controller:
+    """Holds the lease or waits for it, and acts while it holds.
+
+    Args:
+        parts: What every part of the node shares.
+        store: The object API.
+        operations: The platform's operations API, if there is one.
+        peer_server: Listens for calls of other nodes.
+    """
+
+    __slots__ = (
+        "_book",
+        "_capacity",
+        "_config",
+        "_directory",
+        "_held",
+        "_lease",
+        "_loading",
+        "_named",
+        "_operations",
+        "_parts",
+        "_required",
+        "_retired",
+        "_servers",
+        "_session",
+        "_store",
+        "_task",
+    )
+
+    def __init__(
+        self,
+        *,
+        parts: NodeParts,
+        store: StatusStore,
+        operations: Operations | None,
+        peer_server: PeerServer,
+    ):
+        settings = parts.settings
+        self._parts = parts
+        self._store = store
+        self._operations = operations
+        self._lease = Lease(
+            holder=settings.name,
+            clock=parts.clock,
+            term_s=settings.timing.lease_s * _TERM_FACTOR,
+        )
+        self._held = HeldLease(
+            lease=self._lease, store=store, name=_LEASE_NAME, ids=parts.ids
+        )
+        self._book = WindowBook(
+            window_s=settings.timing.usage_window_s,
+            late_s=settings.timing.usage_late_s,
+        )
+        self._session = open_single_use_session()
+        self._servers = PlatformServers(
+            session=self._session, single_use=self._session
+        )
+        self._config = ConfigInForce(
+            clock=parts.clock, max_unconfirmed_s=float("inf")
+        )
+        self._directory = ServerDirectory(clock=parts.clock)
+        self._named: dict[str, int] = {}
+        self._required: dict[str, dict[str, int]] = {}
+        self._loading: dict[str, tuple[LoadOrder, float]] = {}
+        self._retired: set[str] = set()
+        self._capacity: dict[tuple[str, str, bool], int] = {}
+        self._task: asyncio.Task[None] | None = None
+        peer_server.serve_news(self._take_news)
+
+    async def run(self) -> None:
+        """Keeps the lease, and acts while it holds."""
+        parts = self._parts
+        pause_s = parts.settings.timing.lease_s / _RENEWALS_PER_TERM
+        task: asyncio.Task[None] | None = None
+        try:
+            while True:
+                try:
+                    await self._held.refresh()
+                except PlatformError as exc:
+                    parts.log.decided("lease_unreached", error=str(exc))
+                held = self._lease.held()
+                if held and (task is None or task.done()):
+                    parts.log.state("lease_held", epoch=self._lease.epoch)
+                    task = asyncio.create_task(self._act())
+                elif not held and task is not None:
+                    parts.log.state("lease_lost", epoch=self._lease.epoch)
+                    await end_tasks([task])
+                    task = None
+                await asyncio.sleep(pause_s * parts.rng.uniform(0.8, 1.0))
+        finally:
+            if task is not None:
+                await end_tasks([task])
+            await self._held.release()
+            await self._session.close()
+
+    def _take_news(self, news: NodeNews) -> None:
+        self._book.take(news.counts)
+        self._required[news.counts.node] = news.required
+
+    async def _act(self) -> None:
+        """Follows what the duties need, and carries them out."""
+        parts = self._parts
+        self._loading.clear()
+        self._book.begin(parts.clock.now().timestamp())
+        follows = [
+            follow_config(
+                parts, self._store, self._config, wait_s=_WATCH_WAIT_S
+            ),
+            follow_servers(
+                parts,
+                self._store,
+                self._directory,
+                wait_s=_WATCH_WAIT_S,
+                on_change=lambda: None,
+            ),
+            self._follow(VERSION_KIND, self._take_version),
+            self._follow(RETIREMENT_KIND, self._take_retirement),
+        ]
+        tasks = [asyncio.create_task(f.run()) for f in follows]
+        tasks.append(asyncio.create_task(self._report_usage()))
+        tasks.append(asyncio.create_task(self._order_capacity()))
+        tasks.append(asyncio.create_task(self._order_loads()))
+        tasks.append(asyncio.create_task(self._retire()))
+        try:
+            await asyncio.gather(*tasks)
+        finally:
+            await end_tasks(tasks)
+
+    def _follow(self, kind: str, take) -> KindFollower:
+        def take_list(objects: list[StoredObject]) -> None:
+            for obj in objects:
+                take(obj)
+
+        return KindFollower(
+            store=self._store,
+            kind=kind,
+            wait_s=_WATCH_WAIT_S,
+            clock=self._parts.clock,
+            rng=self._parts.rng,
+            log=self._parts.log,
+            on_list=take_list,
+            on_change=take,
+        )
+
+    def _take_version(self, obj: StoredObject) -> None:
+        if obj.value is None:
+            return
+        try:
+            named = decode_version(obj.value)
+        except MessageError as exc:
+            self._parts.log.state("version_malformed", error=str(exc))
+            return
+        known = self._named.get(named.model, 0)
+        self._named[named.model] = max(known, named.version)
+
+    def _take_retirement(self, obj: StoredObject) -> None:
+        if obj.value is None:
+            self._retired.discard(obj.name)
+        else:
+            self._retired.add(obj.name)
+
+    def _fence(self) -> Fence:
+        return Fence(holder=self._parts.settings.name, epoch=self._lease.epoch)
+
+    async def _retire(self) -> None:
+        """Reports VMs as empty: nothing that lasts is kept on them."""
+        done: set[str] = set()
+        while True:
+            for name in sorted(self._retired - done):
+                try:
+                    await self._store.put_status(
+                        kind=RETIREMENT_KIND,
+                        name=name,
+                        value=encode_retirement(complete=True),
+                    )
+                except ConflictError:
+                    # The entry was taken back.
+                    self._retired.discard(name)
+                except PlatformError as exc:
+                    self._parts.log.decided(
+                        "retirement_not_written", node=name, error=str(exc)
+                    )
+                else:
+                    done.add(name)
+                    self._parts.log.decided("node_retired", node=name)
+            await asyncio.sleep(_TICK_S)
+
+    async def _order_loads(self) -> None:
+        """Orders weight versions as they are named."""
+        while True:
+            await asyncio.sleep(_TICK_S)
+            config = self._config.config
+            if config is None:
+                continue
+            self._settle_loads()
+            for spec in config.services:
+                if spec.engine is None:
+                    continue
+                named = {
+                    model: self._named[model]
+                    for model in spec.engine.models
+                    if model in self._named
+                }
+                orders = plan_loads(
+                    self._directory.open_servers(spec.name),
+                    named=named,
+                    required=self._required_versions(),
+                    loading={n: o for n, (o, _) in self._loading.items()},
+                )
+                await asyncio.gather(*(self._load(order) for order in orders))
+
+    def _required_versions(self) -> dict[str, int]:
+        required: dict[str, int] = {}
+        for versions in self._required.values():
+            for model, version in versions.items():
+                required[model] = max(version, required.get(model, 0))
+        return required
+
+    def _settle_loads(self) -> None:
+        """Forgets loads that are done, or that have taken too long."""
+        now_s = self._parts.clock.monotonic()
+        for name, (order, sent_s) in list(self._loading.items()):
+            view = self._directory.get(name)
+            done = (
+                view is None
+                or view.versions.get(order.model, 0) >= order.version
+                or now_s - sent_s >= _LOAD_PATIENCE_S
+            )
+            if done:
+                del self._loading[name]
+
+    async def _load(self, order: LoadOrder) -> None:
+        view = self._directory.get(order.server)
+        if view is None or not self._lease.may_send(timeout_s=_ACT_TIMEOUT_S):
+            return
+        clock = self._parts.clock
+        self._loading[order.server] = (order, clock.monotonic())
+        fence = self._fence()
+        try:
+            answer = await self._servers.order_version(
+                view.entry,
+                VersionOrder(
+                    model=order.model,
+                    version=order.version,
+                    holder=fence.holder,
+                    epoch=fence.epoch,
+                ),
+                timeout_s=_ACT_TIMEOUT_S,
+            )
+        except BackendServerError as exc:
+            outcome = exc.reason.code
+        else:
+            outcome = "accepted" if answer.accepted else "refused"
+            if not answer.accepted:
+                del self._loading[order.server]
+        self._parts.log.decided(
+            "load_ordered",
+            server=order.server,
+            model=order.model,
+            version=order.version,
+            had=view.versions.get(order.model, 0),
+            epoch=fence.epoch,
+            outcome=outcome,
+        )
+
+    async def _report_usage(self) -> None:
+        """Reports each window once its counts are final."""
+        while self._operations is not None:
+            await asyncio.sleep(_TICK_S)
+            gateways = self._parts.fleet.peers(NodeRole.GATEWAY)
+            live = [(node.name, node.incarnation) for node in gateways]
+            now_s = self._parts.clock.now().timestamp()
+            for report in self._book.due(now_s, live=live):
+                try:
+                    frozen = await self._freeze(report)
+                    await self._send_report(frozen)
+                except PlatformError as exc:
+                    self._parts.log.decided(
+                        "usage_not_reported",
+                        window=report.window,
+                        error=str(exc),
+                    )
+                    break
+
+    async def _freeze(self, report: UsageWindowReport) -> UsageWindowReport:
+        """Fixes a window's figures before they are sent for the first time."""
+        name = str(report.window)
+        try:
+            await self._store.put(
+                kind=_FROZEN_KIND,
+                name=name,
+                value=msgspec.json.encode(report),
+                expect_version=0,
+            )
+        except (ConflictError, PlatformError) as exc:
+            held = await self._store.get(kind=_FROZEN_KIND, name=name)
+            if held is None or held.value is None:
+                raise exc
+            return msgspec.json.decode(held.value, type=UsageWindowReport)
+        return report
+
+    async def _send_report(self, report: UsageWindowReport) -> None:
+        if self._operations is None or not self._lease.may_send(
+            timeout_s=_ACT_TIMEOUT_S
+        ):
+            return
+        answer = await self._operations.report_usage(
+            report, fence=self._fence(), timeout_s=_ACT_TIMEOUT_S
+        )
+        self._parts.log.decided(
+            "usage_reported",
+            window=report.window,
+            requests=sum(report.requests.values()),
+            accounts=len(report.requests),
+            epoch=self._lease.epoch,
+            outcome=answer.value,
+        )
+        if answer is not DutyAnswer.FENCED:
+            self._book.reported(report.window)
+
+    async def _order_capacity(self) -> None:
+        """Orders backend servers where the platform lets them be ordered."""
+        while self._operations is not None:
+            await asyncio.sleep(_CAPACITY_INTERVAL_S)
+            config = self._config.config
+            if config is None:
+                continue
+            for spec in config.services:
+                if spec.scaling is None:
+                    continue
+                wanted = plan_capacity(
+                    spec,
+                    self._directory.open_servers(spec.name),
+                    self._parts.settings.data_centres,
+                )
+                for request in wanted:
+                    await self._order(request)
+
+    async def _order(self, request: CapacityRequest) -> None:
+        key = (request.service, request.data_centre, request.spot)
+        if self._capacity.get(key) == request.servers:
+            return
+        if self._operations is None or not self._lease.may_send(
+            timeout_s=_ACT_TIMEOUT_S
+        ):
+            return
+        try:
+            answer = await self._operations.order_capacity(
+                request, fence=self._fence(), timeout_s=_ACT_TIMEOUT_S
+            )
+        except PlatformError as exc:
+            self._parts.log.decided(
+                "capacity_not_ordered",
+                service=request.service,
+                data_centre=request.data_centre,
+                error=str(exc),
+            )
+            return
+        self._parts.log.decided(
+            "capacity_ordered",
+            service=request.service,
+            data_centre=request.data_centre,
+            servers=request.servers,
+            spot=request.spot,
+            epoch=self._lease.epoch,
+            outcome=answer.value,
+        )
+        if answer is DutyAnswer.TAKEN:
+            self._capacity[key] = request.servers
--- /dev/null
+++ b/endivespindle/runtime/job_service.py
@@ -0,0 +1,353 @@
+"""Answers callers and peers about batch jobs, whoever runs them."""
+
+import asyncio
+import contextlib
+from collections.abc import Coroutine
+from typing import Any
+
+import msgspec
+
+from endivespindle.batch.job import page
+from endivespindle.batch.progress import JobProgress
+from endivespindle.batch.submission import BatchSubmission
+from endivespindle.core.clock import Clock
+from endivespindle.core.reasons import Reason
+from endivespindle.exceptions import (
+    ConflictError,
+    PeerError,
+    PlatformError,
+    RefusedError,
+)
+from endivespindle.runtime.fleet_view import FleetView, NodeRecord
+from endivespindle.runtime.job_runner import JobRunner, OwnedJob
+from endivespindle.runtime.job_store import Creation, JobStore, StoredJob
+from endivespindle.runtime.peer_calls import (
+    JobAsk,
+    JobNews,
+    JobReply,
+    PeerCalls,
+    ReadState,
+)
+from endivespindle.runtime.settings import NodeRole
+from endivespindle.runtime.telemetry import DecisionLog
+from endivespindle.schema.generated.caller import RunState
+
+__all__ = ["JobService"]
+
+# Largest page of results, as the callers' interface bounds it.
+_PAGE_BYTES = 1_000_000
+# A write whose answer was lost may be done seconds later; its creator looks
+# this many times whether it was.
+_CREATION_LOOKS = 3
+_CREATION_PAUSE_S = 0.25
+# Retry-After while the store or the owner of a job cannot be reached.
+_RETRY_AFTER_S = 0.5
+# Jobs of other nodes whose owner is remembered.
+_MAX_KNOWN = 4096
+
+
+class JobService:
+    """Accepts, reads and ends jobs.
+
+    Args:
+        runner: Runs the jobs that this node owns.
+        store: Jobs in the store.
+        fleet: Nodes known.
+        peers: Calls other nodes.
+        clock: Clock of this VM.
+        log: Where decisions are written.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_fleet",
+        "_known",
+        "_log",
+        "_peers",
+        "_runner",
+        "_store",
+        "_tasks",
+        "draining",
+    )
+
+    def __init__(
+        self,
+        *,
+        runner: JobRunner,
+        store: JobStore,
+        fleet: FleetView,
+        peers: PeerCalls,
+        clock: Clock,
+        log: DecisionLog,
+    ):
+        self._runner = runner
+        self._store = store
+        self._fleet = fleet
+        self._peers = peers
+        self._clock = clock
+        self._log = log
+        self._known: dict[str, str] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.draining = False
+
+    async def submit(self, submission: BatchSubmission) -> None:
+        """Accepts a job, once.
+
+        Raises:
+            RefusedError: It was not accepted, or nobody knows.
+        """
+        job_id = submission.job_id
+        if job_id in self._runner.jobs or job_id in self._known:
+            return
+        asked_s = self._clock.monotonic()
+        created = await self._store.create(submission)
+        if created is Creation.UNKNOWN:
+            created = await self._settle_creation(submission)
+        self._log.decided(
+            "job_submitted",
+            request_id=job_id,
+            items=len(submission.items),
+            step=submission.step,
+            model=submission.model,
+            min_version=submission.min_version,
+            outcome=created.value,
+        )
+        if created is Creation.REFUSED:
+            raise RefusedError(
+                Reason.PLATFORM_UNAVAILABLE, retry_after_s=_RETRY_AFTER_S
+            )
+        if created is Creation.UNKNOWN:
+            raise RefusedError(Reason.DEADLINE_UNKNOWN, ran=RunState.UNKNOWN)
+        if created is Creation.CREATED:
+            self._begin(submission, asked_s)
+
+    async def ask(self, ask: JobAsk) -> JobReply:
+        """Answers for a job, from its owner wherever that is.
+
+        Raises:
+            RefusedError: Nobody can be sure.
+        """
+        job = self._runner.jobs.get(ask.job_id)
+        if job is not None:
+            reply = await self.answer(ask)
+            if reply.state is ReadState.OK:
+                return reply
+        owner = self._fleet.owner(self._known.get(ask.job_id, ""))
+        if owner is not None:
+            reply = await self._ask_peer(owner, ask)
+            if reply.state is ReadState.OK:
+                return reply
+        return await self._from_store(ask)
+
+    async def answer(self, ask: JobAsk) -> JobReply:
+        """Answers for a job as its owner, if this node is."""
+        job = self._runner.jobs.get(ask.job_id)
+        if job is None or job.lost:
+            return JobReply(state=ReadState.NOT_OWNER)
+        if not await self._runner.confirm(job):
+            return JobReply(
+                state=ReadState.NOT_OWNER if job.lost else ReadState.UNSURE
+            )
+        if ask.end:
+            return await self._end(job)
+        if ask.item_id:
+            return self._reply(job, body=job.state.body(ask.item_id))
+        await self._wait_for_result(job, ask)
+        if job.lost or not await self._runner.confirm(job):
+            return JobReply(state=ReadState.UNSURE)
+        results = page(job.state.listed, after=ask.after, max_bytes=_PAGE_BYTES)
+        reply = self._reply(job)
+        reply.results = list(results)
+        return reply
+
+    def take_news(self, news: JobNews) -> None:
+        """Takes in who runs a job; takes it over if asked to."""
+        self._remember(news.job_id, news.owner_id)
+        if news.adopt:
+            self._spawn(self._adopt(news.job_id))
+
+    async def hand_over_all(self) -> None:
+        """Gives every open job to a peer, before this node goes."""
+        peers = self._fleet.peers(NodeRole.GATEWAY)
+        jobs = [job for job in self._runner.jobs.values() if job.is_open]
+        if not peers:
+            return
+        for place, job in enumerate(jobs):
+            peer = peers[place % len(peers)]
+            try:
+                await self._runner.hand_over(job, peer.owner_id)
+            except PlatformError as exc:
+                self._log.state(
+                    "job_not_handed_over", job_id=job.job_id, error=str(exc)
+                )
+                continue
+            self._remember(job.job_id, peer.owner_id)
+            news = JobNews(
+                job_id=job.job_id, owner_id=peer.owner_id, adopt=True
+            )
+            with contextlib.suppress(PeerError):
+                # The peer takes it over when it is first asked for it.
+                await self._peers.post(peer, "/jobs/news", news)
+
+    def _begin(self, submission: BatchSubmission, asked_s: float) -> None:
+        stored = StoredJob(
+            submission=submission,
+            progress=JobProgress(owner=self._runner.owner_id),
+            results=[],
+            version=0,
+        )
+        self._runner.add(stored, asked_s=asked_s)
+        news = JobNews(job_id=submission.job_id, owner_id=self._runner.owner_id)
+        for peer in self._fleet.peers(NodeRole.GATEWAY):
+            self._spawn(self._tell(peer, news))
+
+    async def _tell(self, peer: NodeRecord, news: JobNews) -> None:
+        with contextlib.suppress(PeerError):
+            # A peer that was not told looks into the store.
+            await self._peers.post(peer, "/jobs/news", news)
+
+    async def _settle_creation(self, submission: BatchSubmission) -> Creation:
+        """Looks whether a write whose answer was lost took effect."""
+        for _ in range(_CREATION_LOOKS):
+            try:
+                if await self._store.load(submission.job_id) is not None:
+                    return Creation.CREATED
+            except PlatformError as exc:
+                self._log.decided(
+                    "creation_in_doubt",
+                    request_id=submission.job_id,
+                    error=str(exc),
+                )
+            await asyncio.sleep(_CREATION_PAUSE_S)
+        return Creation.UNKNOWN
+
+    async def _ask_peer(self, owner: NodeRecord, ask: JobAsk) -> JobReply:
+        try:
+            return await self._peers.ask(owner, ask)
+        except PeerError as exc:
+            self._log.decided(
+                "job_owner_unreached",
+                job_id=ask.job_id,
+                owner=owner.name,
+                error=str(exc),
+            )
+            return JobReply(state=ReadState.NOT_OWNER)
+
+    async def _from_store(self, ask: JobAsk) -> JobReply:
+        """Looks a job up, then asks its owner or becomes it."""
+        asked_s = self._clock.monotonic()
+        try:
+            stored = await self._store.load(ask.job_id)
+        except PlatformError as exc:
+            raise _unsure() from exc
+        if stored is None:
+            return JobReply(state=ReadState.MISSING)
+        owner_id = stored.progress.owner
+        before = self._known.get(ask.job_id)
+        self._remember(ask.job_id, owner_id)
+        owner = self._fleet.owner(owner_id)
+        if owner is not None and owner_id not in (
+            before,
+            self._runner.owner_id,
+        ):
+            reply = await self._ask_peer(owner, ask)
+            if reply.state is ReadState.OK:
+                return reply
+        if not await self._take_over(stored, asked_s=asked_s):
+            raise _unsure()
+        reply = await self.answer(ask)
+        if reply.state is not ReadState.OK:
+            raise _unsure()
+        return reply
+
+    async def _adopt(self, job_id: str) -> None:
+        asked_s = self._clock.monotonic()
+        try:
+            stored = await self._store.load(job_id)
+            if stored is not None:
+                await self._take_over(stored, asked_s=asked_s)
+        except PlatformError as exc:
+            self._log.state("job_not_adopted", job_id=job_id, error=str(exc))
+
+    async def _take_over(self, stored: StoredJob, *, asked_s: float) -> bool:
+        """Becomes the owner of a job; tells whether this node is now."""
+        job_id = stored.submission.job_id
+        if job_id in self._runner.jobs:
+            return True
+        if self.draining:
+            return False
+        old = stored.progress.owner
+        if old != self._runner.owner_id:
+            progress = msgspec.structs.replace(
+                stored.progress, owner=self._runner.owner_id
+            )
+            asked_s = self._clock.monotonic()
+            try:
+                progress, version = await self._store.save(
+                    job_id, progress, version=stored.version
+                )
+            except PlatformError as exc:
+                self._log.decided(
+                    "job_not_taken_over", job_id=job_id, error=str(exc)
+                )
+                return False
+            stored = msgspec.structs.replace(
+                stored, progress=progress, version=version
+            )
+        self._log.decided(
+            "job_taken_over",
+            job_id=job_id,
+            owner_before=old,
+            listed=len(stored.results),
+            version=stored.version,
+        )
+        if job_id not in self._runner.jobs:
+            self._runner.add(stored, asked_s=asked_s)
+        return True
+
+    async def _end(self, job: OwnedJob) -> JobReply:
+        for _ in range(3):
+            try:
+                await self._runner.end(job)
+            except ConflictError:
+                if job.lost:
+                    return JobReply(state=ReadState.NOT_OWNER)
+            except PlatformError:
+                return JobReply(state=ReadState.UNSURE)
+            if job.state.ended:
+                return self._reply(job)
+        return JobReply(state=ReadState.UNSURE)
+
+    async def _wait_for_result(self, job: OwnedJob, ask: JobAsk) -> None:
+        deadline_s = self._clock.monotonic() + ask.wait_s
+        while len(job.state.listed) <= ask.after and job.is_open:
+            left_s = deadline_s - self._clock.monotonic()
+            if left_s <= 0:
+                return
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(job.changed.wait(), left_s)
+
+    def _reply(self, job: OwnedJob, *, body: bytes | None = None) -> JobReply:
+        return JobReply(
+            state=ReadState.OK,
+            client_account=job.state.submission.client_account,
+            total=job.state.total,
+            body=body,
+        )
+
+    def _remember(self, job_id: str, owner_id: str) -> None:
+        self._known.pop(job_id, None)
+        self._known[job_id] = owner_id
+        if len(self._known) > _MAX_KNOWN:
+            self._known.pop(next(iter(self._known)))
+
+    def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _unsure() -> RefusedError:
+    return RefusedError(
+        Reason.PLATFORM_UNAVAILABLE, retry_after_s=_RETRY_AFTER_S
+    )
--- /dev/null
+++ b/endivespindle/runtime/peer_calls.py
@@ -0,0 +1,145 @@
+"""Calls from node to node about batch jobs."""
+
+import enum
+import math
+
+import aiohttp
+import msgspec
+
+from endivespindle.batch.progress import ItemResult
+from endivespindle.controller.usage_windows import NodeCounts
+from endivespindle.exceptions import PeerError
+from endivespindle.runtime.fleet_view import NodeRecord
+
+__all__ = [
+    "JobAsk",
+    "JobNews",
+    "JobReply",
+    "NodeNews",
+    "PeerCalls",
+    "ReadState",
+]
+
+# A peer in the same region answers within some milliseconds; one that takes
+# this long is frozen, cut off or overloaded.
+_PEER_TIMEOUT_S = 0.7
+
+
+class ReadState(enum.StrEnum):
+    """What a node can say of a job."""
+
+    OK = "ok"
+    MISSING = "missing"
+    NOT_OWNER = "not_owner"
+    UNSURE = "unsure"
+
+
+class JobAsk(msgspec.Struct, kw_only=True):
+    """Asks the owner of a job.
+
+    Attributes:
+        job_id: Identity of the job.
+        after: Position of the first result wanted.
+        wait_s: Seconds for which to wait for one.
+        end: Whether to end the job instead.
+        item_id: Item whose body is wanted instead; empty if none is.
+    """
+
+    job_id: str
+    after: int = 0
+    wait_s: float = 0.0
+    end: bool = False
+    item_id: str = ""
+
+
+class JobReply(msgspec.Struct, kw_only=True):
+    """What the owner says.
+
+    Attributes:
+        state: Whether the rest holds.
+        client_account: Client account of the job.
+        total: Number of items.
+        results: Results from the position asked for.
+        body: Body of the item asked for.
+    """
+
+    state: ReadState
+    client_account: str = ""
+    total: int = 0
+    results: list[ItemResult] = []
+    body: bytes | None = None
+
+
+class JobNews(msgspec.Struct, kw_only=True):
+    """Tells peers who runs a job."""
+
+    job_id: str
+    owner_id: str
+    adopt: bool = False
+
+
+class NodeNews(msgspec.Struct, kw_only=True):
+    """What a gateway tells the controllers.
+
+    Attributes:
+        counts: Requests begun, by usage window.
+        required: Oldest weight version that its open jobs accept, by model.
+    """
+
+    counts: NodeCounts
+    required: dict[str, int]
+
+
+class PeerCalls:
+    """Calls other nodes.
+
+    Args:
+        session: Pools connections.
+    """
+
+    __slots__ = ("_session",)
+
+    def __init__(self, *, session: aiohttp.ClientSession):
+        self._session = session
+
+    async def ask(self, node: NodeRecord, ask: JobAsk) -> JobReply:
+        """Asks the owner of a job.
+
+        Raises:
+            PeerError: It did not answer.
+        """
+        body = await self.post(
+            node, "/jobs/ask", ask, timeout_s=_PEER_TIMEOUT_S + ask.wait_s
+        )
+        try:
+            return msgspec.msgpack.decode(body, type=JobReply)
+        except msgspec.MsgspecError as exc:
+            raise PeerError(f"{node.name}: {exc}") from exc
+
+    async def post(
+        self,
+        node: NodeRecord,
+        path: str,
+        message: msgspec.Struct,
+        *,
+        timeout_s: float = _PEER_TIMEOUT_S,
+    ) -> bytes:
+        """Sends one message and returns the answer's body.
+
+        Raises:
+            PeerError: It did not answer, or refused.
+        """
+        if not math.isfinite(timeout_s):
+            raise ValueError("a call between nodes needs a timeout")
+        try:
+            async with self._session.post(
+                f"http://{node.endpoint}{path}",
+                data=msgspec.msgpack.encode(message),
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as resp:
+                body = await resp.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            raise PeerError(f"{node.name}: {exc!r}") from exc
+        if resp.status != 200:
+            raise PeerError(f"{node.name}: status {resp.status}")
+        return body
--- /dev/null
+++ b/endivespindle/runtime/peer_server.py
@@ -0,0 +1,95 @@
+"""Listens for calls from other nodes."""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import msgspec
+from aiohttp import web
+
+from endivespindle.runtime.peer_calls import JobAsk, JobNews, JobReply, NodeNews
+from endivespindle.runtime.telemetry import NodeMetrics
+
+__all__ = ["PeerServer"]
+
+# Largest message: a page of results.
+_MAX_BYTES = 8 * 1_048_576
+
+T = TypeVar("T", bound=msgspec.Struct)
+
+
+class PeerServer:
+    """Serves calls of other nodes and the metrics of this one.
+
+    Args:
+        host: IP number to bind.
+        port: Port for calls of other nodes.
+        metrics: Counters shown.
+    """
+
+    __slots__ = ("_host", "_metrics", "_port", "_routes", "_runner")
+
+    def __init__(self, *, host: str, port: int, metrics: NodeMetrics):
+        self._host = host
+        self._port = port
+        self._metrics = metrics
+        self._routes: dict[str, Callable[[bytes], Awaitable[bytes]]] = {}
+        self._runner: web.ServerRunner | None = None
+
+    def serve_jobs(
+        self,
+        *,
+        answer: Callable[[JobAsk], Awaitable[JobReply]],
+        news: Callable[[JobNews], None],
+    ) -> None:
+        """Takes calls about batch jobs."""
+
+        async def ask(body: bytes) -> bytes:
+            reply = await answer(_decode(body, JobAsk))
+            return msgspec.msgpack.encode(reply)
+
+        async def tell(body: bytes) -> bytes:
+            news(_decode(body, JobNews))
+            return b""
+
+        self._routes["/jobs/ask"] = ask
+        self._routes["/jobs/news"] = tell
+
+    def serve_news(self, take: Callable[[NodeNews], None]) -> None:
+        """Takes what gateways tell the controllers."""
+
+        async def tell(body: bytes) -> bytes:
+            take(_decode(body, NodeNews))
+            return b""
+
+        self._routes["/node/news"] = tell
+
+    async def start(self, *, metrics_port: int) -> None:
+        """Begins to listen."""
+        server = web.Server(self._handle, access_log=None)
+        self._runner = web.ServerRunner(server)
+        await self._runner.setup()
+        for port in (self._port, metrics_port):
+            site = web.TCPSite(self._runner, self._host, port)
+            await site.start()
+
+    async def stop(self) -> None:
+        """Stops listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        if request.path == "/metrics":
+            return web.Response(body=self._metrics.render())
+        route = self._routes.get(request.path)
+        if route is None:
+            return web.Response(status=404)
+        body = await request.content.read(_MAX_BYTES)
+        try:
+            return web.Response(body=await route(body))
+        except msgspec.MsgspecError as exc:
+            self._metrics.peer_refused("malformed")
+            return web.Response(status=400, text=str(exc))
+
+
+def _decode(body: bytes, cls: type[T]) -> T:
+    return msgspec.msgpack.decode(body, type=cls)
--- /dev/null
+++ b/endivespindle/runtime/sessions.py
@@ -0,0 +1,65 @@
+"""HTTP sessions of a node, whose sockets notice a silent far side."""
+
+import socket
+
+import aiohttp
+
+__all__ = ["open_duty_session", "open_node_session", "tune_socket"]
+
+# A connection whose far side acknowledges nothing for this long is dropped:
+# shorter than the time in which a cut must be noticed, far over a round trip.
+_SILENT_MS = 2000
+_PROBE_AFTER_S = 1
+_PROBE_INTERVAL_S = 1
+_PROBES = 2
+# Kept shorter than the servers' own idle timeout, so that none is reused as
+# it is being closed.
+_KEEPALIVE_S = 8.0
+
+
+def tune_socket(sock: socket.socket) -> None:
+    """Makes a connection fail once its far side is gone."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_AFTER_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _SILENT_MS)
+
+
+def _socket(addr_info: tuple) -> socket.socket:
+    family, kind, proto, _, _ = addr_info
+    sock = socket.socket(family=family, type=kind, proto=proto)
+    tune_socket(sock)
+    return sock
+
+
+def open_node_session(
+    *, keepalive_s: float = _KEEPALIVE_S
+) -> aiohttp.ClientSession:
+    """Returns a session that pools connections and repeats nothing."""
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0,
+            keepalive_timeout=keepalive_s,
+            socket_factory=_socket,
+            use_dns_cache=False,
+        ),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        max_line_size=65_536,
+        max_field_size=65_536,
+    )
+    # The library has no public switch; it would repeat a conditional write.
+    session._retry_connection = False
+    return session
+
+
+def open_duty_session() -> aiohttp.ClientSession:
+    """Returns a session for calls that only the holder of a lease makes."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0, force_close=True, socket_factory=_socket
+        ),
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
--- /dev/null
+++ b/endivespindle/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration in force, backend servers known, and where work goes."""
--- a/endivespindle/store/object_store.py
+++ b/endivespindle/store/object_store.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-__all__ = ["ObjectList", "ObjectStore", "StoredObject", "WatchEvents"]
+__all__ = [
+    "ObjectList",
+    "ObjectStore",
+    "StatusStore",
+    "StoredObject",
+    "WatchEvents",
+]
 
 
 class StoredObject(msgspec.Struct, kw_only=True, frozen=True):
@@ -98,3 +104,17 @@
         self, *, kind: str, after: int, wait_s: float
     ) -> WatchEvents:
         """Waits for changes of a kind after a version."""
+
+
+class StatusStore(ObjectStore):
+    """An object store whose objects carry a status beside their value."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    async def put_status(self, *, kind: str, name: str, value: bytes) -> None:
+        """Replaces the status of an object that another writer keeps.
+
+        Raises:
+            ConflictError: There is no such object.
+        """
--- /dev/null
+++ b/endivespindle/weights/load_plan.py
@@ -0,0 +1,126 @@
+"""Which backend servers load which weight version next."""
+
+from collections.abc import Mapping, Sequence
+
+import msgspec
+
+from endivespindle.serving.directory import ServerView
+
+__all__ = ["LoadOrder", "assign_homes", "plan_loads"]
+
+# Homes of a model beyond an even share of the servers. Only half of a model's
+# homes load each version, so that twice the share costs no more loads.
+_HOME_FACTOR = 2
+# Servers that load at once: more of them load more slowly, as they share the
+# store of weights.
+_MAX_LOADING = 2
+
+
+class LoadOrder(msgspec.Struct, kw_only=True, frozen=True):
+    """A server that is to load a version."""
+
+    server: str
+    model: str
+    version: int
+
+
+def assign_homes(
+    servers: Sequence[ServerView], named: Mapping[str, int]
+) -> dict[str, list[ServerView]]:
+    """Returns the servers that each model's versions are loaded on.
+
+    The load pattern answered: several trainers name versions every few
+    seconds on the same servers. A server that follows all of them spends
+    most of its time loading. Each model gets twice its even share of the
+    servers; those that are closest to its newest version stay its homes, so
+    that homes move only when servers come and go.
+
+    Args:
+        servers: Servers of one service that take new work.
+        named: Newest version by model.
+    """
+    if not named:
+        return {}
+    share = -(-len(servers) * _HOME_FACTOR // len(named))
+    share = max(1, min(len(servers), share))
+    homes: dict[str, list[ServerView]] = {model: [] for model in named}
+    taken: dict[str, int] = {view.entry.name: 0 for view in servers}
+    for _ in range(share):
+        for model in sorted(named):
+            free = [view for view in servers if view not in homes[model]]
+            if not free:
+                continue
+            view = min(
+                free,
+                key=lambda v: (
+                    max(0, named[model] - v.versions.get(model, 0) - 1),
+                    taken[v.entry.name],
+                    v.entry.name,
+                ),
+            )
+            homes[model].append(view)
+            taken[view.entry.name] += 1
+    return homes
+
+
+def plan_loads(
+    servers: Sequence[ServerView],
+    *,
+    named: Mapping[str, int],
+    required: Mapping[str, int],
+    loading: Mapping[str, LoadOrder],
+) -> list[LoadOrder]:
+    """Returns the loads to order now, the most urgent first.
+
+    The load pattern answered: a step begins as its version is named and may
+    use the version before. Were all homes to load at once, the step would
+    wait for them. So half of the homes load each version while the others,
+    one version behind, take the step; at the next version they change
+    places. A home that the open jobs cannot use loads at once.
+
+    Args:
+        servers: Servers of one service that take new work.
+        named: Newest version by model.
+        required: Oldest version that open jobs accept, by model.
+        loading: Orders under way, by server.
+    """
+    orders: list[tuple[int, LoadOrder]] = []
+    for model, homes in assign_homes(servers, named).items():
+        newest = named[model]
+        least = max(required.get(model, 0), newest - 1)
+        behind = [v for v in homes if v.versions.get(model, 0) < least]
+        current = [
+            v
+            for v in homes
+            if v.versions.get(model, 0) >= newest
+            or _is_loading(v, model, newest, loading)
+        ]
+        wanted = list(behind)
+        if not current and not behind:
+            wanted = homes[: max(1, len(homes) // 2)]
+        usable = len(homes) - len(behind)
+        for view in wanted:
+            if view.entry.name not in loading:
+                order = LoadOrder(
+                    server=view.entry.name, model=model, version=newest
+                )
+                orders.append((usable, order))
+    orders.sort(key=lambda pair: pair[0])
+    free = max(0, _MAX_LOADING - len(loading))
+    chosen: dict[str, LoadOrder] = {}
+    for _, order in orders:
+        if len(chosen) < free:
+            chosen.setdefault(order.server, order)
+    return list(chosen.values())
+
+
+def _is_loading(
+    view: ServerView,
+    model: str,
+    version: int,
+    loading: Mapping[str, LoadOrder],
+) -> bool:
+    order = loading.get(view.entry.name)
+    return (
+        order is not None and order.model == model and order.version >= version
+    )
--- /dev/null
+++ b/endivespindle/weights/naming.py
@@ -0,0 +1,12 @@
+"""Weight versions as trainers name them."""
+
+import msgspec
+
+__all__ = ["NamedVersion"]
+
+
+class NamedVersion(msgspec.Struct, kw_only=True, frozen=True):
+    """The newest version that the trainer of a model named."""
+
+    model: str
+    version: int
