Start no item of a job that the store has just told to be ended

Change: the task looks again after confirming. Ruled out: the end's acknowledgement being lost; the run was cut 3 ms after it began, which only the cancellation explains.

--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -291,10 +291,13 @@
         self, job: OwnedJob, state: ItemState, view: ServerView
     ) -> None:
         """Generates an item's text, or a part of it, then its score."""
+        item_id = state.item.item_id
         try:
             if not await self.confirm(job):
                 state.not_before_s = self._clock.monotonic() + _FAILED_PAUSE_S
-                state.phase = ItemPhase.WAITING
+                return
+            if not job.is_open or job.state.items.get(item_id) is not state:
+                # The store told that the job was ended or has moved on.
                 return
             await self._generate(job, state, view)
             if state.phase is ItemPhase.SCORING:
