Relay watches within a data centre, and keep a model's jobs at one node

Cause: every gateway watched the store for itself, and every step of a trainer ran at another gateway, over new connections.

--- a/endivespindle/platform/objects.py
+++ b/endivespindle/platform/objects.py
@@ -84,10 +84,11 @@
 
     async def get(self, *, kind: str, name: str) -> StoredObject | None:
         """Returns an object, or None if there is none."""
-        status, body = await self._call("GET", f"/{kind}/{name}")
-        if status == _MISSING:
-            return None
-        return _stored(kind, _decode(body, _Object))
+        return await self._get(kind, name, {})
+
+    async def get_stale(self, *, kind: str, name: str) -> StoredObject | None:
+        """Returns an object as it was some seconds ago, at a lower price."""
+        return await self._get(kind, name, {"serializable": "1"})
 
     async def list_objects(self, *, kind: str, prefix: str = "") -> ObjectList:
         """Returns the objects of a kind whose names start with a prefix."""
@@ -159,6 +160,14 @@
             ],
         )
 
+    async def _get(
+        self, kind: str, name: str, params: dict[str, str]
+    ) -> StoredObject | None:
+        status, body = await self._call("GET", f"/{kind}/{name}", params=params)
+        if status == _MISSING:
+            return None
+        return _stored(kind, _decode(body, _Object))
+
     async def _write(self, method: str, path: str, doc: dict[str, Any]) -> int:
         status, body = await self._call(
             method, path, data=msgspec.json.encode(doc)
--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -1,6 +1,7 @@
 """The role that acts for the whole fleet, one node at a time."""
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -23,7 +24,9 @@
 from endivespindle.leases.lease import Lease
 from endivespindle.peers.tasks import end_tasks
 from endivespindle.platform.documents import (
+    CONFIG_KIND,
     RETIREMENT_KIND,
+    SERVER_KIND,
     VERSION_KIND,
     decode_version,
     encode_retirement,
@@ -33,6 +36,7 @@
 from endivespindle.runtime.following import follow_config, follow_servers
 from endivespindle.runtime.peer_calls import NodeNews
 from endivespindle.runtime.peer_server import PeerServer
+from endivespindle.runtime.relay import KindFeed, RelayAsk, RelayReply
 from endivespindle.runtime.settings import NodeRole
 from endivespindle.runtime.watching import KindFollower
 from endivespindle.serving.calls import VersionOrder
@@ -54,6 +58,12 @@
 _TICK_S = 0.1
 # Objects that only the holder follows, and that change rarely.
 _WATCH_WAIT_S = 10.0
+# Share of the bound on revoked keys for which one watch of the configuration
+# waits; what gateways know is older by as much again, and must stay under 0.6
+# of the bound.
+_CONFIG_SHARE = 0.22
+# Seconds for which one watch of the servers waits.
+_SERVERS_WAIT_S = 3.0
 # A load that has not shown in a server's entry after this long is ordered
 # again: entries are written each 1.2 s, a load takes 0.9 s and more.
 _LOAD_PATIENCE_S = 4.0
@@ -76,6 +86,7 @@
         "_capacity",
         "_config",
         "_directory",
+        "_feeds",
         "_held",
         "_lease",
         "_loading",
@@ -128,13 +139,19 @@
         self._retired: set[str] = set()
         self._capacity: dict[tuple[str, str, bool], int] = {}
         self._task: asyncio.Task[None] | None = None
+        self._feeds = {
+            kind: KindFeed(clock=parts.clock)
+            for kind in (CONFIG_KIND, SERVER_KIND)
+        }
         peer_server.serve_news(self._take_news)
+        peer_server.serve_relay(self._answer_relay)
 
     async def run(self) -> None:
-        """Keeps the lease, and acts while it holds."""
+        """Passes on what it follows, keeps the lease, and acts under it."""
         parts = self._parts
         pause_s = parts.settings.timing.lease_s / _RENEWALS_PER_TERM
         task: asyncio.Task[None] | None = None
+        follows = [asyncio.create_task(f.run()) for f in self._relayed()]
         try:
             while True:
                 try:
@@ -153,9 +170,35 @@
         finally:
             if task is not None:
                 await end_tasks([task])
+            await end_tasks(follows)
             await self._held.release()
             await self._session.close()
 
+    def _relayed(self) -> list[KindFollower]:
+        """Returns followers of what gateways watch here."""
+        config_wait_s = self._parts.settings.timing.revoke_s * _CONFIG_SHARE
+        return [
+            follow_config(
+                self._parts,
+                self._store,
+                self._config,
+                wait_s=config_wait_s,
+                feed=self._feeds[CONFIG_KIND],
+            ),
+            follow_servers(
+                self._parts,
+                self._store,
+                self._directory,
+                wait_s=_SERVERS_WAIT_S,
+                on_change=lambda: None,
+                feed=self._feeds[SERVER_KIND],
+            ),
+        ]
+
+    async def _answer_relay(self, ask: RelayAsk) -> RelayReply | None:
+        feed = self._feeds.get(ask.kind)
+        return await feed.answer(ask) if feed is not None else None
+
     def _take_news(self, news: NodeNews) -> None:
         self._book.take(news.counts)
         self._required[news.counts.node] = news.required
@@ -166,16 +209,6 @@
         self._loading.clear()
         self._book.begin(parts.clock.now().timestamp())
         follows = [
-            follow_config(
-                parts, self._store, self._config, wait_s=_WATCH_WAIT_S
-            ),
-            follow_servers(
-                parts,
-                self._store,
-                self._directory,
-                wait_s=_WATCH_WAIT_S,
-                on_change=lambda: None,
-            ),
             self._follow(VERSION_KIND, self._take_version),
             self._follow(RETIREMENT_KIND, self._take_retirement),
         ]
@@ -189,7 +222,9 @@
         finally:
             await end_tasks(tasks)
 
-    def _follow(self, kind: str, take) -> KindFollower:
+    def _follow(
+        self, kind: str, take: Callable[[StoredObject], None]
+    ) -> KindFollower:
         def take_list(objects: list[StoredObject]) -> None:
             for obj in objects:
                 take(obj)
--- a/endivespindle/runtime/following.py
+++ b/endivespindle/runtime/following.py
@@ -1,6 +1,7 @@
 """Followers of the kinds that several roles need."""
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from endivespindle.exceptions import MessageError, PlatformError
 from endivespindle.platform.documents import (
@@ -12,6 +13,7 @@
 )
 from endivespindle.runtime.context import NodeParts
 from endivespindle.runtime.fleet_view import NODE_KIND
+from endivespindle.runtime.relay import KindFeed
 from endivespindle.runtime.watching import KindFollower
 from endivespindle.serving.directory import ServerDirectory
 from endivespindle.serving.in_force import ConfigInForce
@@ -30,8 +32,17 @@
     config: ConfigInForce,
     *,
     wait_s: float,
+    feed: KindFeed | None = None,
 ) -> KindFollower:
-    """Keeps the configuration in force, and confirms it."""
+    """Keeps the configuration in force, and confirms it.
+
+    Args:
+        parts: What every part of the node shares.
+        store: The object API.
+        config: Takes in what is read.
+        wait_s: Seconds for which one watch waits.
+        feed: Passes on what is read, if this node is a relay.
+    """
 
     def take(obj: StoredObject) -> None:
         if obj.name != CONFIG_NAME or obj.value is None:
@@ -49,7 +60,8 @@
         for obj in objects:
             take(obj)
 
-    def confirmed(asked_s: float) -> None:
+    def confirmed(version: int, asked_s: float) -> None:
+        del version
         if config.version:
             config.confirm(asked_s=asked_s)
 
@@ -58,9 +70,8 @@
         store,
         CONFIG_KIND,
         wait_s,
-        take_list,
-        take,
-        confirmed,
+        _Handlers(take_list, take, confirmed),
+        feed,
     )
 
 
@@ -71,8 +82,18 @@
     *,
     wait_s: float,
     on_change: Callable[[], None],
+    feed: KindFeed | None = None,
 ) -> KindFollower:
-    """Keeps the directory of backend servers."""
+    """Keeps the directory of backend servers.
+
+    Args:
+        parts: What every part of the node shares.
+        store: The object API.
+        directory: Takes in what is read.
+        wait_s: Seconds for which one watch waits.
+        on_change: Called after each change.
+        feed: Passes on what is read, if this node is a relay.
+    """
 
     def take(obj: StoredObject) -> None:
         _take_server(parts, directory, obj)
@@ -88,7 +109,9 @@
             _take_server(parts, directory, obj)
         on_change()
 
-    return _follower(parts, store, SERVER_KIND, wait_s, take_list, take, None)
+    return _follower(
+        parts, store, SERVER_KIND, wait_s, _Handlers(take_list, take), feed
+    )
 
 
 def follow_nodes(parts: NodeParts, store: ObjectStore) -> KindFollower:
@@ -106,7 +129,7 @@
             take(obj)
 
     return _follower(
-        parts, store, NODE_KIND, _NODES_WAIT_S, take_list, take, None
+        parts, store, NODE_KIND, _NODES_WAIT_S, _Handlers(take_list, take), None
     )
 
 
@@ -139,15 +162,24 @@
         )
 
 
+class _Handlers(NamedTuple):
+    """What is done with the objects of a kind."""
+
+    on_list: Callable[[list[StoredObject]], None]
+    on_change: Callable[[StoredObject], None]
+    on_confirmed: Callable[[int, float], None] | None = None
+
+
 def _follower(
     parts: NodeParts,
     store: ObjectStore,
     kind: str,
     wait_s: float,
-    on_list: Callable[[list[StoredObject]], None],
-    on_change: Callable[[StoredObject], None],
-    on_confirmed: Callable[[float], None] | None,
+    handlers: _Handlers,
+    feed: KindFeed | None,
 ) -> KindFollower:
+    if feed is not None:
+        handlers = _fed(handlers, feed)
     return KindFollower(
         store=store,
         kind=kind,
@@ -155,7 +187,26 @@
         clock=parts.clock,
         rng=parts.rng,
         log=parts.log,
-        on_list=on_list,
-        on_change=on_change,
-        on_confirmed=on_confirmed,
+        on_list=handlers.on_list,
+        on_change=handlers.on_change,
+        on_confirmed=handlers.on_confirmed,
     )
+
+
+def _fed(handlers: _Handlers, feed: KindFeed) -> _Handlers:
+    """Returns handlers that also pass everything on to a relay's feed."""
+
+    def on_list(objects: list[StoredObject]) -> None:
+        handlers.on_list(objects)
+        feed.take_list(objects)
+
+    def on_change(obj: StoredObject) -> None:
+        handlers.on_change(obj)
+        feed.take(obj)
+
+    def on_confirmed(version: int, asked_s: float) -> None:
+        if handlers.on_confirmed is not None:
+            handlers.on_confirmed(version, asked_s)
+        feed.confirm(version=version, asked_s=asked_s)
+
+    return _Handlers(on_list, on_change, on_confirmed)
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -19,6 +19,7 @@
 from endivespindle.runtime.job_store import JobStore
 from endivespindle.runtime.peer_calls import NodeNews, PeerCalls
 from endivespindle.runtime.peer_server import PeerServer
+from endivespindle.runtime.relay import RelayedStore
 from endivespindle.runtime.sessions import open_node_session
 from endivespindle.runtime.settings import Endpoint, NodeRole
 from endivespindle.runtime.streaming import StreamRelay
@@ -160,19 +161,30 @@
             metrics=parts.metrics,
         )
         peer_server.serve_jobs(
-            answer=self._jobs.answer, news=self._jobs.take_news
+            answer=self._jobs.answer,
+            news=self._jobs.take_news,
+            assign=self._jobs.take_assignment,
         )
 
     async def start(self) -> None:
         """Begins to follow the store and to listen."""
         parts = self._parts
         config_wait_s = self._max_unconfirmed_s() * _WATCH_SHARE
+        relayed = RelayedStore(
+            store=self._store,
+            peers=self._peers,
+            fleet=parts.fleet,
+            clock=parts.clock,
+            on_shunned=lambda name, error: parts.log.decided(
+                "relay_shunned", relay=name, error=error
+            ),
+        )
         config = follow_config(
-            parts, self._store, self._config, wait_s=config_wait_s
+            parts, relayed, self._config, wait_s=config_wait_s
         )
         servers = follow_servers(
             parts,
-            self._store,
+            relayed,
             self._directory,
             wait_s=_SERVERS_WAIT_S,
             on_change=self._runner.wake,
--- a/endivespindle/runtime/job_service.py
+++ b/endivespindle/runtime/job_service.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from endivespindle.batch.job import page
+from endivespindle.batch.ownership import preferred_owner
 from endivespindle.batch.progress import JobProgress
 from endivespindle.batch.submission import BatchSubmission
 from endivespindle.core.clock import Clock
@@ -44,6 +45,8 @@
 _RETRY_AFTER_S = 0.5
 # Jobs of other nodes whose owner is remembered.
 _MAX_KNOWN = 4096
+# Time for which no new job is given to a node that did not take one.
+_AVOID_S = 5.0
 
 
 class JobService:
@@ -59,6 +62,7 @@
     """
 
     __slots__ = (
+        "_avoided",
         "_clock",
         "_fleet",
         "_known",
@@ -87,6 +91,7 @@
         self._clock = clock
         self._log = log
         self._known: dict[str, str] = {}
+        self._avoided: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self.draining = False
 
@@ -100,6 +105,10 @@
         if job_id in self._runner.jobs or job_id in self._known:
             return
         asked_s = self._clock.monotonic()
+        owner = self._choose_owner(submission)
+        submission = msgspec.structs.replace(
+            submission, first_owner=owner.owner_id
+        )
         created = await self._store.create(submission)
         if created is Creation.UNKNOWN:
             created = await self._settle_creation(submission)
@@ -110,6 +119,7 @@
             step=submission.step,
             model=submission.model,
             min_version=submission.min_version,
+            owner=owner.name,
             outcome=created.value,
         )
         if created is Creation.REFUSED:
@@ -119,7 +129,17 @@
         if created is Creation.UNKNOWN:
             raise RefusedError(Reason.DEADLINE_UNKNOWN, ran=RunState.UNKNOWN)
         if created is Creation.CREATED:
-            self._begin(submission, asked_s)
+            self._begin(submission, owner, asked_s)
+
+    def take_assignment(self, submission: BatchSubmission) -> bool:
+        """Begins to run a job that another node accepted for this one."""
+        if self.draining or submission.first_owner != self._runner.owner_id:
+            return False
+        if submission.job_id not in self._runner.jobs:
+            self._runner.add(
+                _new_job(submission), asked_s=self._clock.monotonic()
+            )
+        return True
 
     async def ask(self, ask: JobAsk) -> JobReply:
         """Answers for a job, from its owner wherever that is.
@@ -189,17 +209,49 @@
                 # The peer takes it over when it is first asked for it.
                 await self._peers.post(peer, "/jobs/news", news)
 
-    def _begin(self, submission: BatchSubmission, asked_s: float) -> None:
-        stored = StoredJob(
-            submission=submission,
-            progress=JobProgress(owner=self._runner.owner_id),
-            results=[],
-            version=0,
-        )
-        self._runner.add(stored, asked_s=asked_s)
-        news = JobNews(job_id=submission.job_id, owner_id=self._runner.owner_id)
+    def _choose_owner(self, submission: BatchSubmission) -> NodeRecord:
+        """Returns the node that is to run a new job."""
+        me = self._fleet.me
+        now_s = self._clock.monotonic()
+        nodes = {
+            node.name: node
+            for node in self._fleet.peers(NodeRole.GATEWAY)
+            if self._avoided.get(node.owner_id, 0.0) <= now_s
+        }
+        nodes[me.name] = me
+        return nodes[preferred_owner(submission, nodes, default=me.name)]
+
+    def _begin(
+        self, submission: BatchSubmission, owner: NodeRecord, asked_s: float
+    ) -> None:
+        """Has an accepted job run, and tells the peers where."""
+        if owner.owner_id == self._runner.owner_id:
+            self._runner.add(_new_job(submission), asked_s=asked_s)
+        else:
+            self._remember(submission.job_id, owner.owner_id)
+            self._spawn(self._assign(submission, owner))
+        news = JobNews(job_id=submission.job_id, owner_id=owner.owner_id)
         for peer in self._fleet.peers(NodeRole.GATEWAY):
-            self._spawn(self._tell(peer, news))
+            if peer.owner_id != owner.owner_id:
+                self._spawn(self._tell(peer, news))
+
+    async def _assign(
+        self, submission: BatchSubmission, owner: NodeRecord
+    ) -> None:
+        """Gives a new job to its owner, or runs it here."""
+        try:
+            await self._peers.post(owner, "/jobs/assign", submission)
+        except PeerError as exc:
+            self._avoided[owner.owner_id] = self._clock.monotonic() + _AVOID_S
+            self._log.decided(
+                "job_not_assigned",
+                job_id=submission.job_id,
+                owner=owner.name,
+                error=str(exc),
+            )
+            await self._take_over(
+                _new_job(submission), asked_s=self._clock.monotonic()
+            )
 
     async def _tell(self, peer: NodeRecord, news: JobNews) -> None:
         with contextlib.suppress(PeerError):
@@ -347,6 +399,16 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _new_job(submission: BatchSubmission) -> StoredJob:
+    """Returns a job that has no record of its progress yet."""
+    return StoredJob(
+        submission=submission,
+        progress=JobProgress(owner=submission.first_owner),
+        results=[],
+        version=0,
+    )
+
+
 def _unsure() -> RefusedError:
     return RefusedError(
         Reason.PLATFORM_UNAVAILABLE, retry_after_s=_RETRY_AFTER_S
--- a/endivespindle/runtime/node.py
+++ b/endivespindle/runtime/node.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 import signal
+from collections.abc import Coroutine
+from typing import Any
 
 import aiohttp
 
@@ -145,5 +147,5 @@
             else:
                 return
 
-    def _spawn(self, coro) -> None:
+    def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(coro))
--- a/endivespindle/runtime/peer_server.py
+++ b/endivespindle/runtime/peer_server.py
@@ -6,7 +6,9 @@
 import msgspec
 from aiohttp import web
 
+from endivespindle.batch.submission import BatchSubmission
 from endivespindle.runtime.peer_calls import JobAsk, JobNews, JobReply, NodeNews
+from endivespindle.runtime.relay import RelayAsk, RelayReply
 from endivespindle.runtime.telemetry import NodeMetrics
 
 __all__ = ["PeerServer"]
@@ -32,7 +34,7 @@
         self._host = host
         self._port = port
         self._metrics = metrics
-        self._routes: dict[str, Callable[[bytes], Awaitable[bytes]]] = {}
+        self._routes: dict[str, Callable[[bytes], Awaitable[bytes | None]]] = {}
         self._runner: web.ServerRunner | None = None
 
     def serve_jobs(
@@ -40,6 +42,7 @@
         *,
         answer: Callable[[JobAsk], Awaitable[JobReply]],
         news: Callable[[JobNews], None],
+        assign: Callable[[BatchSubmission], bool],
     ) -> None:
         """Takes calls about batch jobs."""
 
@@ -51,6 +54,10 @@
             news(_decode(body, JobNews))
             return b""
 
+        async def take(body: bytes) -> bytes | None:
+            return b"" if assign(_decode(body, BatchSubmission)) else None
+
+        self._routes["/jobs/assign"] = take
         self._routes["/jobs/ask"] = ask
         self._routes["/jobs/news"] = tell
 
@@ -63,6 +70,16 @@
 
         self._routes["/node/news"] = tell
 
+    def serve_relay(
+        self, answer: Callable[[RelayAsk], Awaitable[RelayReply | None]]
+    ) -> None:
+        """Takes watches of gateways."""
+
+        async def ask(body: bytes) -> bytes:
+            return msgspec.msgpack.encode(await answer(_decode(body, RelayAsk)))
+
+        self._routes["/relay"] = ask
+
     async def start(self, *, metrics_port: int) -> None:
         """Begins to listen."""
         server = web.Server(self._handle, access_log=None)
@@ -83,12 +100,27 @@
         route = self._routes.get(request.path)
         if route is None:
             return web.Response(status=404)
-        body = await request.content.read(_MAX_BYTES)
+        body = await _read(request)
         try:
-            return web.Response(body=await route(body))
+            answer = await route(body)
         except msgspec.MsgspecError as exc:
             self._metrics.peer_refused("malformed")
             return web.Response(status=400, text=str(exc))
+        if answer is None:
+            return web.Response(status=409)
+        return web.Response(body=answer)
+
+
+async def _read(request: web.BaseRequest) -> bytes:
+    """Reads a body; one that is too large is cut, and so malformed."""
+    parts = []
+    size = 0
+    async for part in request.content.iter_any():
+        parts.append(part)
+        size += len(part)
+        if size > _MAX_BYTES:
+            break
+    return b"".join(parts)
 
 
 def _decode(body: bytes, cls: type[T]) -> T:
--- a/endivespindle/runtime/watching.py
+++ b/endivespindle/runtime/watching.py
@@ -31,8 +31,8 @@
         on_list: Called with all objects after a list.
         on_change: Called with each changed object; removed ones have no
             value.
-        on_confirmed: Called after each answer with the time at which it was
-            asked for.
+        on_confirmed: Called after each answer with the version reached and
+            the time as of which it is known to be the newest.
     """
 
     __slots__ = (
@@ -60,7 +60,7 @@
         log: DecisionLog,
         on_list: Callable[[list[StoredObject]], None],
         on_change: Callable[[StoredObject], None],
-        on_confirmed: Callable[[float], None] | None = None,
+        on_confirmed: Callable[[int, float], None] | None = None,
     ):
         self._store = store
         self._kind = kind
@@ -80,7 +80,7 @@
         while True:
             asked_s = self._clock.monotonic()
             try:
-                await self._step()
+                asked_s -= await self._step()
             except PlatformError as exc:
                 if self._reached:
                     self._log.state(
@@ -96,23 +96,25 @@
                 )
             self._reached = True
             pause_s = _FIRST_PAUSE_S
-            if self._on_confirmed is not None:
-                self._on_confirmed(asked_s)
+            if self._on_confirmed is not None and self._version is not None:
+                self._on_confirmed(self._version, asked_s)
 
-    async def _step(self) -> None:
+    async def _step(self) -> float:
+        """Lists or watches once; returns the seconds the answer lags."""
         if self._version is None:
             listed = await self._store.list_objects(kind=self._kind)
             self._on_list(listed.objects)
             self._version = listed.version
-            return
+            return 0.0
         events = await self._store.watch(
             kind=self._kind, after=self._version, wait_s=self._wait_s
         )
         if events.lost:
             self._log.state("history_lost", kind=self._kind)
             self._version = None
-            await self._step()
-            return
+            return await self._step()
         for obj in events.objects:
             self._on_change(obj)
-        self._version = events.version
+        # A relay may be behind what was read from the store itself.
+        self._version = max(self._version, events.version)
+        return events.lag_s
--- a/endivespindle/store/held_lease.py
+++ b/endivespindle/store/held_lease.py
@@ -51,8 +51,12 @@
             PlatformError: The store could not be reached.
         """
         async with self._lock:
-            if self.lease.in_doubt() or not self.lease.held():
+            if self.lease.in_doubt():
                 await self._read()
+            elif not self.lease.held():
+                # An old record only delays the take-over: the update that
+                # takes the lease fails unless the record is the newest.
+                await self._read(stale=True)
             await self._write(None)
 
     async def record_intent(self, intent: Intent) -> None:
@@ -82,9 +86,13 @@
             return False
         return True
 
-    async def _read(self) -> None:
+    async def _read(self, *, stale: bool = False) -> None:
         record, version = await read_object(
-            self._store, kind=LEASE_KIND, name=self.name, cls=LeaseRecord
+            self._store,
+            kind=LEASE_KIND,
+            name=self.name,
+            cls=LeaseRecord,
+            stale=stale,
         )
         self.lease.observe(record, version)
 
--- a/endivespindle/store/object_store.py
+++ b/endivespindle/store/object_store.py
@@ -45,11 +45,14 @@
         objects: Objects as written; a deleted one has no value.
         lost: Whether the store no longer holds all changes since the version
             asked for, so that the watcher must list again.
+        lag_s: Seconds by which the state told of is older than the call that
+            asked for it; more than 0 only if somebody passed it on.
     """
 
     version: int
     objects: list[StoredObject]
     lost: bool = False
+    lag_s: float = 0.0
 
 
 class ObjectStore(abc.ABC):
@@ -66,6 +69,13 @@
     async def get(self, *, kind: str, name: str) -> StoredObject | None:
         """Returns an object, or None if there is none."""
 
+    async def get_stale(self, *, kind: str, name: str) -> StoredObject | None:
+        """Returns an object as it was some seconds ago, at a lower price.
+
+        Stores that have no such read return it as it is.
+        """
+        return await self.get(kind=kind, name=name)
+
     @abc.abstractmethod
     async def list_objects(self, *, kind: str, prefix: str = "") -> ObjectList:
         """Returns the objects of a kind whose names start with a prefix."""
--- a/endivespindle/store/update.py
+++ b/endivespindle/store/update.py
@@ -21,10 +21,24 @@
 
 
 async def read_object(
-    store: ObjectStore, *, kind: str, name: str, cls: type[T]
+    store: ObjectStore,
+    *,
+    kind: str,
+    name: str,
+    cls: type[T],
+    stale: bool = False,
 ) -> tuple[T | None, int]:
-    """Returns an object's value and version, or None and 0."""
-    obj = await store.get(kind=kind, name=name)
+    """Returns an object's value and version, or None and 0.
+
+    Args:
+        store: The object API.
+        kind: Kind of the object.
+        name: Name of the object.
+        cls: Type of its value.
+        stale: Whether it may be seconds old.
+    """
+    read = store.get_stale if stale else store.get
+    obj = await read(kind=kind, name=name)
     if obj is None or obj.value is None:
         return None, 0
     return msgspec.json.decode(obj.value, type=cls), obj.version
