Let relays speak for the store for two watches and half a second

Change: it answers with what it knows and how old that is. Ruled out: lost events; a relay that was cut off is left within 1.7 s.

--- a/endivespindle/platform/objects.py
+++ b/endivespindle/platform/objects.py
@@ -26,7 +26,7 @@
 # Answers that promise that nothing was done.
 _NOT_DONE = frozenset({429, 503})
 # Time beyond a watch's own wait after which its connection counts as lost.
-_WATCH_SLACK_S = 1.5
+_WATCH_SLACK_S = 0.8
 
 T = TypeVar("T")
 
--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -62,6 +62,9 @@
 # waits; what gateways know is older by as much again, and must stay under 0.6
 # of the bound.
 _CONFIG_SHARE = 0.22
+# What is known is as old as two watches just before the second one ends;
+# this much older, and gateways are sent to the store.
+_RELAY_SLACK_S = 0.5
 # Seconds for which one watch of the servers waits.
 _SERVERS_WAIT_S = 3.0
 # A load that has not shown in a server's entry after this long is ordered
@@ -140,8 +143,13 @@
         self._capacity: dict[tuple[str, str, bool], int] = {}
         self._task: asyncio.Task[None] | None = None
         self._feeds = {
-            kind: KindFeed(clock=parts.clock)
-            for kind in (CONFIG_KIND, SERVER_KIND)
+            kind: KindFeed(
+                clock=parts.clock, max_age_s=2 * wait_s + _RELAY_SLACK_S
+            )
+            for kind, wait_s in (
+                (CONFIG_KIND, self._config_wait_s()),
+                (SERVER_KIND, _SERVERS_WAIT_S),
+            )
         }
         peer_server.serve_news(self._take_news)
         peer_server.serve_relay(self._answer_relay)
@@ -176,13 +184,12 @@
 
     def _relayed(self) -> list[KindFollower]:
         """Returns followers of what gateways watch here."""
-        config_wait_s = self._parts.settings.timing.revoke_s * _CONFIG_SHARE
         return [
             follow_config(
                 self._parts,
                 self._store,
                 self._config,
-                wait_s=config_wait_s,
+                wait_s=self._config_wait_s(),
                 feed=self._feeds[CONFIG_KIND],
             ),
             follow_servers(
@@ -195,9 +202,15 @@
             ),
         ]
 
+    def _config_wait_s(self) -> float:
+        return self._parts.settings.timing.revoke_s * _CONFIG_SHARE
+
     async def _answer_relay(self, ask: RelayAsk) -> RelayReply | None:
         feed = self._feeds.get(ask.kind)
-        return await feed.answer(ask) if feed is not None else None
+        reply = await feed.answer(ask) if feed is not None else None
+        # The configuration is asked for most often; its age tells soonest
+        # that this node does not reach the store.
+        return reply if self._feeds[CONFIG_KIND].is_fresh() else None
 
     def _take_news(self, news: NodeNews) -> None:
         self._book.take(news.counts)
--- a/endivespindle/runtime/relay.py
+++ b/endivespindle/runtime/relay.py
@@ -77,6 +77,8 @@
 
     Args:
         clock: Clock of this VM.
+        max_age_s: Age of the store's last answer beyond which this node does
+            not speak for the store.
     """
 
     __slots__ = (
@@ -84,13 +86,15 @@
         "_changes",
         "_clock",
         "_floor",
+        "_max_age_s",
         "_news",
         "_objects",
         "_version",
     )
 
-    def __init__(self, *, clock: Clock):
+    def __init__(self, *, clock: Clock, max_age_s: float):
         self._clock = clock
+        self._max_age_s = max_age_s
         self._objects: dict[str, StoredObject] = {}
         self._changes: collections.deque[StoredObject] = collections.deque(
             maxlen=_HISTORY
@@ -125,16 +129,17 @@
         self._news.set()
         self._news = asyncio.Event()
 
+    def is_fresh(self) -> bool:
+        """Tells whether the store answered recently."""
+        return self._clock.monotonic() - self._asked_s <= self._max_age_s
+
     async def answer(self, ask: RelayAsk) -> RelayReply | None:
         """Answers a watcher; None while the store is out of reach."""
         arrived_s = self._clock.monotonic()
-        asked_s = self._asked_s
         if ask.after >= 0 and self._version <= ask.after:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._news.wait(), ask.wait_s)
-            if self._asked_s == asked_s:
-                return None
-        if self._version < 0:
+        if not self.is_fresh():
             return None
         lost = 0 <= ask.after < self._floor
         if ask.after < 0:
