--- /dev/null
+++ b/endivespindle/batch/tests/test_job.py
@@ -0,0 +1,88 @@
+"""Items, texts and results of a batch job."""
+
+from endivespindle.batch.job import ItemPhase, JobState, page
+from endivespindle.batch.progress import ItemOutcome, ItemResult
+from endivespindle.batch.tests.jobs import event, item, submission
+
+
+def _job(**changes):
+    items = [item("i1"), item("i2"), item("i3", group="g2")]
+    return JobState(submission=submission(items, **changes))
+
+
+def test_events_are_taken_once_and_in_order():
+    state = _job().items["i1"]
+    assert state.take(event(1), 1)
+    assert not state.take(event(1), 1)
+    assert not state.take(event(3), 1)
+    assert state.take(event(2), 2)
+    assert (state.pieces, state.versions) == (["t1", "t2"], [1, 2])
+
+
+def test_a_result_names_each_version_that_generated_it():
+    job = _job()
+    state = job.items["i1"]
+    for number, version in ((1, 3), (2, 3), (3, 4)):
+        state.take(event(number), version)
+    job.completed(state, score="sig")
+    assert job.fresh[0].versions == (3, 4)
+    assert job.fresh[0].text == "t1\nt2\nt3"
+
+
+def test_nothing_is_listed_before_the_store_has_it():
+    job = _job()
+    job.completed(job.items["i1"], score="")
+    assert not job.listed
+    job.acknowledged(1)
+    assert [r.item_id for r in job.listed] == ["i1"]
+    assert "i1" not in job.items
+
+
+def test_an_item_is_recorded_once():
+    job = _job()
+    state = job.items["i1"]
+    job.terminated(state)
+    job.completed(state, score="")
+    assert len(job.fresh) == 1
+    assert job.fresh[0].outcome is ItemOutcome.TERMINATED
+
+
+def test_what_was_listed_is_not_run_again_after_a_take_over():
+    items = [item("i1"), item("i2")]
+    listed = [ItemResult(item_id="i1", outcome=ItemOutcome.COMPLETE)]
+    job = JobState(submission=submission(items), results=listed)
+    assert [state.item.item_id for state in job.waiting()] == ["i2"]
+    assert job.total == 2
+
+
+def test_an_ended_job_has_nothing_waiting():
+    job = _job()
+    job.ended = True
+    assert job.waiting() == []
+
+
+def test_an_item_is_given_up_only_after_its_time():
+    job = _job()
+    state = job.items["i1"]
+    assert not job.is_over(state, now_ms=39_999)
+    assert job.is_over(state, now_ms=40_000)
+
+
+def test_failures_are_counted_up_to_the_bound():
+    job = _job()
+    state = job.items["i1"]
+    state.failures = 2
+    assert job.may_fail_again(state)
+    state.failures = 3
+    assert not job.may_fail_again(state)
+    assert state.phase is ItemPhase.WAITING
+
+
+def test_a_page_holds_at_least_one_result_and_not_too_much():
+    results = [
+        ItemResult(item_id=str(i), outcome=ItemOutcome.COMPLETE, text="x" * 600)
+        for i in range(5)
+    ]
+    assert len(page(results, after=0, max_bytes=1500)) == 2
+    assert len(page(results, after=1, max_bytes=10)) == 1
+    assert page(results, after=5, max_bytes=1500) == []
--- /dev/null
+++ b/endivespindle/batch/tests/test_schedule.py
@@ -0,0 +1,110 @@
+"""Order and place of items when a step arrives at once."""
+
+import random
+
+from endivespindle.batch.job import JobState
+from endivespindle.batch.ownership import preferred_owner
+from endivespindle.batch.schedule import order_items, place_items
+from endivespindle.batch.tests.jobs import item, submission
+from endivespindle.core.clock import ManualClock
+from endivespindle.serving.directory import ServerDirectory
+from endivespindle.serving.tests.configs import server
+
+
+def _step(groups, size=4, **changes):
+    """Returns a step whose groups have the lengths given."""
+    items = [
+        item(f"g{g}-{i}", group=f"g{g}", hint=length)
+        for g, length in enumerate(groups)
+        for i in range(size)
+    ]
+    return JobState(submission=submission(items, **changes))
+
+
+def _engines(count, slots=4, **changes):
+    directory = ServerDirectory(clock=ManualClock())
+    for number in range(count):
+        directory.put(
+            server(
+                f"e{number}",
+                service="engine",
+                slots=slots,
+                versions={"m": 1},
+                **changes,
+            )
+        )
+    return directory
+
+
+def _place(jobs, directory):
+    return place_items(
+        jobs,
+        {"engine": directory.open_servers("engine")},
+        data_centre="a",
+        now_s=0.0,
+        rng=random.Random(1),
+    )
+
+
+def test_the_longest_groups_that_are_needed_go_first():
+    """Nine groups of which eight are needed; one is far longer than all."""
+    job = _step([10, 20, 900, 30, 40, 50, 60, 70, 80], group_count=8)
+    order = [state.item.group for state in order_items(job)][::4]
+    assert order[0] == "g8"
+    assert order[-1] == "g2"
+
+
+def test_a_step_larger_than_all_slots_fills_them_and_waits():
+    directory = _engines(2)
+    placed = _place([_step([10] * 9)], directory)
+    per_server = [
+        sum(p.server.entry.name == name for p in placed)
+        for name in ("e0", "e1")
+    ]
+    assert per_server == [5, 5]
+
+
+def test_a_group_stays_at_the_server_that_read_its_prompt():
+    directory = _engines(4, slots=12)
+    placed = _place([_step([10] * 4)], directory)
+    homes = {}
+    for p in placed:
+        homes.setdefault(p.state.item.group, set()).add(p.server.entry.name)
+    assert sum(len(names) for names in homes.values()) <= 8
+
+
+def test_the_job_that_is_due_first_is_placed_first():
+    directory = _engines(1, slots=3)
+    late = _step([10], job_id="late", submitted_ms=5_000)
+    soon = _step([10], job_id="soon", submitted_ms=1_000)
+    placed = _place([late, soon], directory)
+    assert {p.job.submission.job_id for p in placed} == {"soon"}
+
+
+def test_no_server_with_older_weights_is_taken():
+    directory = _engines(2)
+    directory.get("e0").saw_version("m", 4)
+    placed = _place([_step([10], min_version=3)], directory)
+    assert {p.server.entry.name for p in placed} == {"e0"}
+
+
+def test_a_server_that_loads_a_model_gets_none_of_its_items():
+    directory = _engines(2)
+    directory.get("e0").hold_model("m", 1.0)
+    placed = _place([_step([10])], directory)
+    assert {p.server.entry.name for p in placed} == {"e1"}
+
+
+def test_an_item_rests_before_it_is_sent_again():
+    job = _step([10], size=1)
+    job.items["g0-0"].not_before_s = 0.5
+    assert _place([job], _engines(1)) == []
+
+
+def test_steps_of_a_model_stay_at_one_node():
+    nodes = ["n1", "n2", "n3"]
+    steps = [submission([], job_id=f"j{i}") for i in range(5)]
+    owners = {preferred_owner(s, nodes, default="n1") for s in steps}
+    assert len(owners) == 1
+    left = [n for n in nodes if n not in owners]
+    assert preferred_owner(steps[0], left, default="n1") in left
--- /dev/null
+++ b/endivespindle/platform/tests/test_boot.py
@@ -0,0 +1,58 @@
+"""The platform's settings file."""
+
+import pytest
+
+from endivespindle.exceptions import CheckError
+from endivespindle.platform.boot import decode_boot
+from endivespindle.runtime.settings import NodeRole
+
+BOOT = """
+nodeName: "front-a-1"
+role: "gateway"
+machineClass: "front"
+ip: "10.1.0.14"
+zone: "a"
+zones: {a: "r", b: "r"}
+listenAddrs: {front: "10.1.0.14:8689", ready: "10.1.0.14:8687"}
+portRange: [7360, 7375]
+limits: {memoryMb: 300, newerField: 1}
+timingBounds: {revokeMs: 4000, strictRevoke: true, leaseMs: 3000}
+platform: {address: "10.200.1.7:8688", writesPerS: 400, form: "objects"}
+cloudApi: {address: "10.200.0.24:8688", duties: [usage_report]}
+surprise: {deep: [1, 2]}
+"""
+
+
+def test_a_gateway_s_settings_are_read_in_seconds():
+    cfg = decode_boot(BOOT.encode())
+    assert cfg.role is NodeRole.GATEWAY
+    assert str(cfg.callers) == "10.1.0.14:8689"
+    assert cfg.timing.revoke_s == 4.0
+    assert cfg.data_centres == ("a", "b")
+    assert cfg.duties == ("usage_report",)
+
+
+def test_a_vm_with_a_disk_is_a_controller_on_a_port_of_its_own():
+    text = BOOT.replace('"front"', '"storage"').replace(
+        'front: "10.1.0.14:8689", ready: "10.1.0.14:8687"', ""
+    )
+    cfg = decode_boot(text.encode())
+    assert cfg.role is NodeRole.CONTROLLER
+    assert (cfg.callers, cfg.peer_port) == (None, 7361)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "- 1",
+        "nodeName: [",
+        BOOT.replace("10.1.0.14:8689", "nowhere"),
+        BOOT.replace('ip: "10.1.0.14"', ""),
+        BOOT.replace("revokeMs: 4000", "revokeMs: soon"),
+    ],
+)
+def test_a_malformed_file_is_a_finding(text):
+    with pytest.raises(CheckError) as caught:
+        decode_boot(text.encode())
+    assert caught.value.findings
--- /dev/null
+++ b/endivespindle/platform/tests/test_headers.py
@@ -0,0 +1,85 @@
+"""Headers in and out."""
+
+from multidict import CIMultiDict
+
+from endivespindle.platform.headers import (
+    answer_head,
+    answers_request,
+    call_headers,
+    caller_hints,
+)
+from endivespindle.serving.calls import ServerCall
+from endivespindle.serving.tests.configs import server
+
+
+def _sent(headers, **changes):
+    call = ServerCall(
+        request_id="r1",
+        method="POST",
+        target="/orders/1",
+        host="app.example",
+        headers=headers,
+        body=b"",
+        client_account="acme",
+        deadline_s=1.5,
+        **changes,
+    )
+    return CIMultiDict(call_headers(call, server("i-1")))
+
+
+def test_no_server_sees_a_key_or_a_forged_account():
+    sent = _sent(
+        [
+            ("Authorization", "Bearer k1"),
+            ("X-Tenant", "someone-else"),
+            ("X-Expect-Instance", "i-9"),
+            ("X-Deadline-Ms", "999999"),
+        ]
+    )
+    assert "Authorization" not in sent
+    assert sent.getall("X-Tenant") == ["acme"]
+    assert sent.getall("X-Expect-Instance") == ["i-1"]
+    assert sent.getall("X-Deadline-Ms") == ["1500"]
+
+
+def test_headers_of_one_connection_are_not_passed_on():
+    sent = _sent(
+        [
+            ("Connection", "close, X-Hop"),
+            ("X-Hop", "1"),
+            ("Transfer-Encoding", "chunked"),
+            ("X-Model", "m"),
+        ]
+    )
+    assert "X-Hop" not in sent and "Transfer-Encoding" not in sent
+    assert sent["X-Model"] == "m"
+
+
+def test_a_caller_s_hints_are_read_and_malformed_ones_left_out():
+    hints = caller_hints(
+        CIMultiDict(
+            {
+                "Authorization": "bearer  k1",
+                "X-Request-Id": "r1",
+                "X-Deadline-Ms": "soon",
+                "X-Wait-Ms": "1000",
+            }
+        )
+    )
+    assert (hints.key, hints.deadline_s, hints.wait_s) == ("k1", None, 1.0)
+    assert caller_hints(CIMultiDict({"Authorization": "Basic x"})).key == ""
+
+
+def test_an_answer_s_head_tells_whether_it_ran():
+    full = CIMultiDict({"X-Not-Executed": "1", "X-Server-Load": "12,30,12"})
+    head = answer_head(503, full, full.items())
+    assert head.not_run
+    assert (head.load.running, head.load.waiting) == (12, 30)
+    assert answer_head(421, CIMultiDict(), ()).not_run
+    assert not answer_head(503, CIMultiDict(), ()).not_run
+
+
+def test_an_answer_to_another_request_is_told_apart():
+    assert answers_request(CIMultiDict({"X-Request-Id": "r1"}), "r1")
+    assert answers_request(CIMultiDict(), "r1")
+    assert not answers_request(CIMultiDict({"X-Request-Id": "r0"}), "r1")
--- /dev/null
+++ b/endivespindle/platform/tests/test_streams_and_jobs.py
@@ -0,0 +1,111 @@
+"""Events cut from bytes, and bodies of batch job calls."""
+
+import msgspec
+import pytest
+
+from endivespindle.batch.progress import ItemOutcome, ItemResult
+from endivespindle.exceptions import BackendServerError, MessageError
+from endivespindle.platform.event_stream import EventCutter
+from endivespindle.platform.jobs import (
+    decode_submission,
+    encode_page,
+    job_call,
+)
+from endivespindle.serving.configuration import RouteKind
+from endivespindle.serving.tests.configs import route
+
+STREAM = (
+    b"id: 1\ndata: one\n\nx-weight-versions: 4\nid: 2\ndata: two\n\n"
+    b"id: 3\ndata: a\ndata: b\n\n"
+)
+SUBMISSION = (
+    b'{"step":7,"model":"m0","minVersion":6,"groupCount":1,"items":[{"id":"i1",'
+    b'"path":"/g/1","headers":{"X-Length-Hint":"90"},"body":"q83v","tokens":94,'
+    b'"group":"g1","scorer":{"id":"s1","host":"h","path":"/p","body":"3q0="}}]}'
+)
+
+
+@pytest.mark.parametrize("size", [1, 3, 7, len(STREAM)])
+def test_events_are_whole_however_the_bytes_arrive(size):
+    cutter = EventCutter()
+    events = []
+    for start in range(0, len(STREAM), size):
+        events += cutter.feed(STREAM[start : start + size])
+    assert [e.event_id for e in events] == [1, 2, 3]
+    assert [e.weight_version for e in events] == [None, 4, None]
+    assert [e.data for e in events] == ["one", "two", "a\nb"]
+    assert b"".join(e.raw for e in events) == STREAM
+    assert cutter.is_whole
+
+
+def test_a_stream_cut_within_an_event_is_not_whole():
+    cutter = EventCutter()
+    cutter.feed(STREAM[:-4])
+    assert not cutter.is_whole
+
+
+@pytest.mark.parametrize("data", [b"data: x\n\n", b"id: x\n\n", b"\xff\n\n"])
+def test_bytes_that_are_no_event_fail(data):
+    with pytest.raises(BackendServerError):
+        EventCutter().feed(data)
+
+
+def _decode(body):
+    return decode_submission(
+        body,
+        job_id="j1",
+        client_account="acme",
+        route=route(kind=RouteKind.BATCH, due_s=7.5, max_wait_s=40.0),
+        service="engine",
+        path="/jobs/1",
+        submitted_ms=1,
+        owner="n1/a",
+    )
+
+
+def test_a_submission_is_read_whole():
+    job = _decode(SUBMISSION)
+    assert (job.min_version, job.group_count, job.due_s) == (6, 1, 7.5)
+    assert (job.items[0].body, job.items[0].hint) == (b"\xab\xcd\xef", 90)
+    assert job.items[0].score.body == b"\xde\xad"
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{}",
+        SUBMISSION.replace(b'"q83v"', b'"not base64"'),
+        SUBMISSION.replace(b"]}", b',{"id":"i1","path":"/","body":""}]}'),
+    ],
+)
+def test_a_malformed_submission_is_refused(body):
+    with pytest.raises(MessageError):
+        _decode(body)
+
+
+def test_a_page_says_where_to_go_on():
+    result = ItemResult(
+        item_id="i1",
+        outcome=ItemOutcome.COMPLETE,
+        text="one\ntwo",
+        versions=(6, 7),
+        score="sig",
+    )
+    page = msgspec.json.decode(encode_page(total=4, after=2, results=[result]))
+    assert page["nextToken"] == 3
+    assert page["results"][0]["versions"] == [6, 7]
+
+
+@pytest.mark.parametrize(
+    ("path", "expected"),
+    [
+        ("/lots/j1", ("job", "j1")),
+        ("/items/j1", ("item", "j1")),
+        ("/lots/", None),
+        ("/lots/j1/x", None),
+        ("/else/j1", None),
+    ],
+)
+def test_paths_of_job_calls(path, expected):
+    assert job_call(path) == expected
--- /dev/null
+++ b/endivespindle/weights/tests/test_load_plan.py
@@ -0,0 +1,85 @@
+"""Loads of weights while steps go on."""
+
+from endivespindle.core.clock import ManualClock
+from endivespindle.serving.directory import ServerDirectory
+from endivespindle.serving.tests.configs import server
+from endivespindle.weights.load_plan import (
+    LoadOrder,
+    assign_homes,
+    plan_loads,
+)
+
+MODELS = ("m0", "m1", "m2")
+
+
+def _engines(count, versions):
+    directory = ServerDirectory(clock=ManualClock())
+    for number in range(count):
+        directory.put(
+            server(f"e{number}", service="engine", versions=dict(versions))
+        )
+    return directory.open_servers("engine")
+
+
+def _run(servers, steps, *, lag=1, models=MODELS):
+    """Names a version of each model in each step; loads end within it.
+
+    Returns:
+        Loads ordered, and the fewest homes that a step found usable.
+    """
+    named = dict.fromkeys(models, 1)
+    loads, fewest = 0, len(servers)
+    for _ in range(steps):
+        named = {model: version + 1 for model, version in named.items()}
+        required = {m: v - lag for m, v in named.items()}
+        for model, homes in assign_homes(servers, named).items():
+            usable = [v for v in homes if v.versions[model] >= required[model]]
+            fewest = min(fewest, len(usable))
+        for _ in range(20):
+            orders = plan_loads(
+                servers, named=named, required=required, loading={}
+            )
+            for order in orders:
+                view = next(v for v in servers if v.entry.name == order.server)
+                view.saw_version(order.model, order.version)
+                loads += 1
+    return loads, fewest
+
+
+def test_every_step_finds_servers_at_once_and_loads_stay_in_their_share():
+    """Three trainers on six servers: two loads for each version are free."""
+    loads, fewest = _run(_engines(6, dict.fromkeys(MODELS, 1)), steps=20)
+    assert fewest >= 1
+    assert loads <= 20 * 3 * 2
+
+
+def test_a_step_that_needs_the_newest_version_gets_it_everywhere():
+    servers = _engines(2, {"m0": 1})
+    named, required = {"m0": 2}, {"m0": 2}
+    orders = plan_loads(servers, named=named, required=required, loading={})
+    assert {o.server for o in orders} == {"e0", "e1"}
+
+
+def test_no_more_than_two_servers_load_at_once():
+    servers = _engines(6, dict.fromkeys(MODELS, 1))
+    named = dict.fromkeys(MODELS, 5)
+    loading = {"e0": LoadOrder(server="e0", model="m0", version=5)}
+    orders = plan_loads(servers, named=named, required={}, loading=loading)
+    assert len(orders) == 1
+    assert orders[0].server != "e0"
+
+
+def test_homes_stay_when_versions_move_on():
+    servers = _engines(6, dict.fromkeys(MODELS, 1))
+    first = assign_homes(servers, dict.fromkeys(MODELS, 2))
+    _run(servers, steps=6)
+    later = assign_homes(servers, dict.fromkeys(MODELS, 7))
+    for model in MODELS:
+        old = {v.entry.name for v in first[model]}
+        new = {v.entry.name for v in later[model]}
+        assert len(old & new) >= len(old) - 1
+
+
+def test_nothing_is_loaded_before_a_version_is_named():
+    servers = _engines(3, {"m0": 1})
+    assert plan_loads(servers, named={}, required={}, loading={}) == []
