Test forwarding and batch jobs on virtual time, and believe answers' versions

Cause: an item whose server answered under older weights than its entry said was sent there again at once, without end: the answer could only raise the version known. Change: an answer's version replaces the known one, and every attempt that ends without the whole text rests 50 ms. Found by the test of stale versions, which hung. Ruled out: a loop in the test's own clock.

--- a/endivespindle/batch/tests/test_schedule.py
+++ b/endivespindle/batch/tests/test_schedule.py
@@ -83,7 +83,7 @@
 
 def test_no_server_with_older_weights_is_taken():
     directory = _engines(2)
-    directory.get("e0").saw_version("m", 4)
+    directory.get("e0").answered_with("m", 4)
     placed = _place([_step([10], min_version=3)], directory)
     assert {p.server.entry.name for p in placed} == {"e0"}
 
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -334,7 +334,6 @@
         except BackendServerError as exc:
             outcome = exc.reason.code
             self._metrics.retried(RetryReason.RESUME)
-            state.not_before_s = self._clock.monotonic() + _FAILED_PAUSE_S
         self._log.decided(
             "item_attempt",
             request_id=state.item.item_id,
@@ -348,6 +347,9 @@
         )
         if outcome == "whole":
             state.phase = ItemPhase.SCORING
+        else:
+            rest_s = self._clock.monotonic() + _FAILED_PAUSE_S
+            state.not_before_s = max(state.not_before_s, rest_s)
 
     async def _receive(
         self,
@@ -369,13 +371,13 @@
             return self._failed(job, state, head.status)
         version = head.weight_version or 0
         if sub.model:
-            view.saw_version(sub.model, version)
+            view.answered_with(sub.model, version)
         if version < sub.min_version:
             return "stale_version"
         async for event in _unless_silent(answer):
             if event.weight_version is not None:
                 version = event.weight_version
-                view.saw_version(sub.model, version)
+                view.answered_with(sub.model, version)
             if sub.single_version and state.versions not in ([], [version]):
                 state.forget_text()
                 return "version_changed"
@@ -389,7 +391,6 @@
         if status == _REJECTED:
             self._give_up(job, state, "rejected")
             return "rejected"
-        state.not_before_s = self._clock.monotonic() + _FAILED_PAUSE_S
         if status == _SERVER_FAILED:
             state.failures += 1
             if not job.state.may_fail_again(state):
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -102,11 +102,12 @@
         """Takes in a newer entry of the same incarnation."""
         self.entry = entry
         for model, version in entry.versions.items():
-            self.saw_version(model, version)
+            # Entries lag behind answers, and versions rise.
+            self.versions[model] = max(version, self.versions.get(model, 0))
 
-    def saw_version(self, model: str, version: int) -> None:
-        """Takes in a weight version; within an incarnation it only rises."""
-        self.versions[model] = max(version, self.versions.get(model, 0))
+    def answered_with(self, model: str, version: int) -> None:
+        """Takes in the weight version that an answer was made under."""
+        self.versions[model] = version
 
     def started(self) -> None:
         """Counts a request sent."""
--- a/endivespindle/serving/tests/test_directory.py
+++ b/endivespindle/serving/tests/test_directory.py
@@ -34,7 +34,7 @@
 def test_a_version_seen_in_an_answer_outlives_an_older_entry():
     directory = ServerDirectory(clock=ManualClock())
     view = directory.put(server("s1", versions={"m": 1}))
-    view.saw_version("m", 3)
+    view.answered_with("m", 3)
     directory.put(server("s1", versions={"m": 2}))
     assert view.versions == {"m": 3}
 
--- a/endivespindle/weights/tests/test_load_plan.py
+++ b/endivespindle/weights/tests/test_load_plan.py
@@ -41,7 +41,7 @@
             )
             for order in orders:
                 view = next(v for v in servers if v.entry.name == order.server)
-                view.saw_version(order.model, order.version)
+                view.answered_with(order.model, order.version)
                 loads += 1
     return loads, fewest
 
--- /dev/null
+++ b/tests/test_batch_jobs.py
@@ -0,0 +1,440 @@
+"""Batch jobs on two nodes over one store, with servers that break off."""
+
+import asyncio
+import random
+
+import msgspec
+import pytest
+
+from endivespindle.batch.progress import ItemOutcome
+from endivespindle.batch.tests.jobs import item, submission
+from endivespindle.exceptions import PeerError, RefusedError
+from endivespindle.runtime.forwarding import Forwarder
+from endivespindle.runtime.job_runner import JobRunner
+from endivespindle.runtime.job_service import JobService
+from endivespindle.runtime.job_store import JobStore
+from endivespindle.runtime.peer_calls import JobAsk, ReadState
+from endivespindle.serving.directory import ServerDirectory
+from endivespindle.serving.in_force import ConfigInForce
+from endivespindle.serving.tests.configs import config, server
+from endivespindle.standins.memory_store import MemoryObjectStore
+from endivespindle.store.object_store import StoredObject
+from tests.fleet_fakes import ScriptedAnswer, ScriptedServers, lost, node_parts
+from tests.virtual_loop import run_virtual
+
+
+class _Peers:
+    """Calls between the nodes of one test; those in `cut` are silent."""
+
+    def __init__(self):
+        self.services = {}
+        self.cut = set()
+
+    async def ask(self, node, ask):
+        await self._reach(node)
+        return await self.services[node.name].answer(ask)
+
+    async def post(self, node, path, message, *, timeout_s=0.7):
+        del timeout_s
+        await self._reach(node)
+        service = self.services[node.name]
+        if path == "/jobs/assign":
+            if not service.take_assignment(message):
+                raise PeerError("not taken")
+        else:
+            service.take_news(message)
+        return b""
+
+    async def _reach(self, node):
+        await asyncio.sleep(0.002)
+        if node.name in self.cut or node.name not in self.services:
+            await asyncio.sleep(0.7)
+            raise PeerError("cut")
+
+
+class _Node:
+    """One gateway's batch job parts."""
+
+    def __init__(self, name, store, servers, peers):
+        self.parts = node_parts(name)
+        clock = self.parts.clock
+        directory = ServerDirectory(clock=clock)
+        for number in range(2):
+            directory.put(
+                server(f"e{number}", service="engine", versions={"m": 1})
+            )
+        directory.put(server("p0"))
+        self.directory = directory
+        held = ConfigInForce(clock=clock, max_unconfirmed_s=3.0)
+        held.offer(config())
+        jobs = JobStore(store=store, ids=self.parts.ids, value_bytes=1_048_576)
+        common = {
+            "clock": clock,
+            "log": self.parts.log,
+        }
+        forwarder = Forwarder(
+            api=servers,
+            directory=directory,
+            rng=random.Random(1),
+            data_centre="a",
+            metrics=self.parts.metrics,
+            **common,
+        )
+        self.runner = JobRunner(
+            store=jobs,
+            api=servers,
+            forwarder=forwarder,
+            directory=directory,
+            config=held,
+            rng=random.Random(1),
+            owner_id=self.parts.fleet.me.owner_id,
+            data_centre="a",
+            metrics=self.parts.metrics,
+            **common,
+        )
+        self.service = JobService(
+            runner=self.runner,
+            store=jobs,
+            fleet=self.parts.fleet,
+            peers=peers,
+            **common,
+        )
+        peers.services[name] = self.service
+        self.task = asyncio.create_task(self.runner.run())
+
+    def stop(self, peers):
+        """Ends the node as a kill would."""
+        self.task.cancel()
+        for job in self.runner.jobs.values():
+            job.lost = True
+            job.cancel_items()
+        self.runner.jobs.clear()
+        peers.services.pop(self.parts.fleet.me.name)
+
+
+class _World:
+    """Two nodes, one store, scripted servers."""
+
+    def __init__(self, answer):
+        self.store = MemoryObjectStore()
+        self.servers = ScriptedServers(answer)
+        self.peers = _Peers()
+        self.nodes = [self.add(name) for name in ("n1", "n2")]
+        for node in self.nodes:
+            for other in self.nodes:
+                me = other.parts.fleet.me
+                node.parts.fleet.take(
+                    StoredObject(
+                        kind="vms",
+                        name=me.name,
+                        version=1,
+                        value=msgspec.json.encode(me),
+                    )
+                )
+
+    def add(self, name):
+        return _Node(name, self.store, self.servers, self.peers)
+
+    def owner(self, job_id="job-1"):
+        return next(n for n in self.nodes if job_id in n.runner.jobs)
+
+    def other(self, job_id="job-1"):
+        return next(n for n in self.nodes if job_id not in n.runner.jobs)
+
+    async def submit(self, items, **changes):
+        job = submission(items, submitted_ms=self.now_ms(), **changes)
+        await self.nodes[0].service.submit(job)
+        await asyncio.sleep(0.05)
+
+    def now_ms(self):
+        return int(self.nodes[0].parts.clock.now().timestamp() * 1000)
+
+    async def read(self, node=None, after=0, wait_s=0.0):
+        service = (node or self.nodes[0]).service
+        reply = await service.ask(
+            JobAsk(job_id="job-1", after=after, wait_s=wait_s)
+        )
+        assert reply.state is ReadState.OK
+        return reply
+
+    def sent(self, item_id):
+        return [c for _, c in self.servers.sent if c.request_id == item_id]
+
+
+def _whole(name, call):
+    del name
+    first = int(call.last_event_id or 0) + 1
+    return ScriptedAnswer(events=list(range(first, 4)))
+
+
+def _play(answer, story):
+    async def run():
+        return await story(_World(answer))
+
+    return run_virtual(run())
+
+
+def test_all_items_are_listed_at_every_node_in_one_order():
+    async def story(world):
+        await world.submit([item(f"i{n}", score=True) for n in range(6)])
+        await asyncio.sleep(2.0)
+        replies = [await world.read(node) for node in world.nodes]
+        assert replies[0].results == replies[1].results
+        assert len(replies[0].results) == 6
+        first = replies[0].results[0]
+        assert (first.text, first.versions) == ("t1\nt2\nt3", (1,))
+        assert first.score == "sig"
+
+    _play(_whole, story)
+
+
+def test_a_text_that_broke_off_goes_on_after_its_last_event():
+    def answer(name, call):
+        if call.request_id == "i1" and call.last_event_id is None:
+            return ScriptedAnswer(events=[1, 2, lost()])
+        return _whole(name, call)
+
+    async def story(world):
+        await world.submit([item("i1")])
+        await asyncio.sleep(2.0)
+        assert [c.last_event_id for c in world.sent("i1")] == [None, "2"]
+        assert (await world.read()).results[0].text == "t1\nt2\nt3"
+
+    _play(answer, story)
+
+
+def test_events_under_a_version_that_is_too_old_are_not_taken():
+    def answer(name, call):
+        return ScriptedAnswer(events=[1], version=1 if name == "e0" else 2)
+
+    async def story(world):
+        for node in world.nodes:
+            for name in ("e0", "e1"):
+                # The directory is wrong about one of them.
+                node.directory.get(name).answered_with("m", 2)
+        await world.submit([item(f"i{n}") for n in range(4)], min_version=2)
+        await asyncio.sleep(3.0)
+        results = (await world.read()).results
+        assert {r.versions for r in results} == {(2,)}
+        assert len(results) == 4
+
+    _play(answer, story)
+
+
+def test_a_single_version_text_starts_anew_when_weights_change():
+    def answer(name, call):
+        if len([c for c in seen if c == call.request_id]) == 0:
+            seen.append(call.request_id)
+            return ScriptedAnswer(events=[1, (2, 5), 3])
+        return ScriptedAnswer(events=[1, 2, 3], version=5)
+
+    seen = []
+
+    async def story(world):
+        await world.submit([item("i1")], single_version=True)
+        await asyncio.sleep(2.0)
+        assert (await world.read()).results[0].versions == (5,)
+
+    _play(answer, story)
+
+
+@pytest.mark.parametrize(("status", "sends"), [(500, 3), (422, 1)])
+def test_an_item_that_cannot_be_done_is_terminated(status, sends):
+    async def story(world):
+        await world.submit([item("i1")])
+        await asyncio.sleep(3.0)
+        result = (await world.read()).results[0]
+        assert result.outcome is ItemOutcome.TERMINATED
+        assert len(world.sent("i1")) == sends
+
+    _play(lambda *_: ScriptedAnswer(status=status), story)
+
+
+def test_another_node_goes_on_when_the_owner_is_killed():
+    async def story(world):
+        await world.submit([item(f"i{n}") for n in range(4)])
+        owner, other = world.owner(), world.other()
+        owner.stop(world.peers)
+        await asyncio.sleep(0.1)
+        await world.read(other)
+        await asyncio.sleep(2.0)
+        assert len((await world.read(other)).results) == 4
+
+    _play(_slow, story)
+
+
+def _slow(name, call):
+    del name, call
+    return ScriptedAnswer(events=[1, 2, 3], pause_s=0.2)
+
+
+def _slower(name, call):
+    del name, call
+    return ScriptedAnswer(events=[1, 2, 3], pause_s=0.6)
+
+
+def test_results_that_were_read_keep_their_positions_after_a_take_over():
+    async def story(world):
+        await world.submit([item(f"i{n}") for n in range(8)])
+        await asyncio.sleep(1.2)
+        owner, other = world.owner(), world.other()
+        before = (await world.read(owner)).results
+        owner.stop(world.peers)
+        after = (await world.read(other)).results
+        assert before and after[: len(before)] == before
+
+    _play(_slow, story)
+
+
+def test_an_owner_that_was_replaced_stops_and_lists_nothing_more():
+    async def story(world):
+        await world.submit([item(f"i{n}") for n in range(4)])
+        owner, other = world.owner(), world.other()
+        world.peers.cut.add(owner.parts.fleet.me.name)
+        await world.read(other)
+        await asyncio.sleep(6.0)
+        assert "job-1" not in owner.runner.jobs
+        results = (await world.read(other)).results
+        assert len({r.item_id for r in results}) == len(results) == 4
+
+    _play(_slower, story)
+
+
+def test_no_item_starts_once_the_store_told_of_the_end():
+    """The owner learns of the end as it confirms the job for an item."""
+
+    def answer(name, call):
+        del name
+        if call.request_id == "i1" and not call.last_event_id:
+            return ScriptedAnswer(events=[1, lost()], pause_s=0.5)
+        return ScriptedAnswer(events=[2, 3], pause_s=0.5)
+
+    async def story(world):
+        await world.submit([item("i1")])
+        owner = world.owner()
+        job = owner.runner.jobs["job-1"]
+        ended = msgspec.structs.replace(job.progress, ended=True)
+        await owner.runner._store.save("job-1", ended, version=job.version)
+        await asyncio.sleep(3.0)
+        assert len(world.sent("i1")) == 1
+        assert owner.runner.jobs["job-1"].state.ended
+
+    _play(answer, story)
+
+
+def test_an_end_is_acknowledged_again_and_again():
+    async def story(world):
+        await world.submit([item("i1")])
+        for node in (*world.nodes, *world.nodes):
+            reply = await node.service.ask(JobAsk(job_id="job-1", end=True))
+            assert reply.state is ReadState.OK
+        sent = len(world.servers.sent)
+        await asyncio.sleep(2.0)
+        assert len(world.servers.sent) == sent
+
+    _play(_slow, story)
+
+
+def test_a_job_is_accepted_once_wherever_it_arrives():
+    async def story(world):
+        for node in world.nodes:
+            job = submission([item("i1")], submitted_ms=world.now_ms())
+            await node.service.submit(job)
+        await asyncio.sleep(2.0)
+        assert len(world.sent("i1")) == 1
+
+    _play(_whole, story)
+
+
+def test_a_job_whose_creation_lost_its_answer_is_accepted():
+    async def story(world):
+        world.store.faults.lose_answers = 1
+        await world.submit([item("i1")])
+        await asyncio.sleep(2.0)
+        assert len((await world.read()).results) == 1
+
+    _play(_whole, story)
+
+
+def test_a_job_is_refused_as_not_run_while_the_store_is_down():
+    async def story(world):
+        world.store.faults.down = True
+        with pytest.raises(RefusedError) as caught:
+            await world.submit([item("i1")])
+        assert caught.value.ran.value == "not_run"
+        world.store.faults.down = False
+        await asyncio.sleep(2.0)
+        assert world.sent("i1") == []
+
+    _play(_whole, story)
+
+
+def test_a_node_that_cannot_be_sure_does_not_say_that_a_job_is_missing():
+    async def story(world):
+        world.store.faults.down = True
+        with pytest.raises(RefusedError):
+            await world.nodes[0].service.ask(JobAsk(job_id="job-1"))
+        world.store.faults.down = False
+        reply = await world.nodes[0].service.ask(JobAsk(job_id="job-1"))
+        assert reply.state is ReadState.MISSING
+
+    _play(_whole, story)
+
+
+def test_a_node_that_drains_hands_its_jobs_over():
+    async def story(world):
+        await world.submit([item(f"i{n}") for n in range(4)])
+        owner, other = world.owner(), world.other()
+        owner.service.draining = True
+        await owner.service.hand_over_all()
+        await asyncio.sleep(0.1)
+        assert "job-1" in other.runner.jobs
+        assert "job-1" not in owner.runner.jobs
+        await asyncio.sleep(2.0)
+        assert len((await world.read(other)).results) == 4
+
+    _play(_slow, story)
+
+
+def test_a_large_job_is_kept_in_parts_and_read_whole():
+    async def story(world):
+        big = [
+            msgspec.structs.replace(item(f"i{n}"), body=b"x" * 150_000)
+            for n in range(10)
+        ]
+        await world.submit(big)
+        await asyncio.sleep(2.0)
+        world.owner().stop(world.peers)
+        left = next(
+            n
+            for n in world.nodes
+            if n.parts.fleet.me.name in world.peers.services
+        )
+        reply = await left.service.ask(JobAsk(job_id="job-1", item_id="i9"))
+        assert len(reply.body) == 150_000
+        assert (await world.read(left)).total == 10
+
+    _play(_whole, story)
+
+
+def test_large_results_are_kept_in_parts_and_keep_their_order():
+    def answer(name, call):
+        del name, call
+        return ScriptedAnswer(events=[1, 2, 3])
+
+    async def story(world):
+        for node in world.nodes:
+            node.runner._store._max_bytes = 600
+        await world.submit([item(f"i{n}") for n in range(20)])
+        await asyncio.sleep(4.0)
+        before = (await world.read()).results
+        assert len(before) == 20
+        world.owner().stop(world.peers)
+        left = next(
+            n
+            for n in world.nodes
+            if n.parts.fleet.me.name in world.peers.services
+        )
+        assert (await world.read(left)).results == before
+
+    _play(answer, story)
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,136 @@
+"""Forwarding of plain requests: retries, hedges, and truthful refusals."""
+
+import asyncio
+import random
+
+import pytest
+
+from endivespindle.exceptions import RefusedError
+from endivespindle.runtime.forwarding import Forwarder, ForwardPlan
+from endivespindle.runtime.telemetry import DecisionLog, NodeMetrics
+from endivespindle.schema.generated.caller import RunState
+from endivespindle.serving.calls import ServerCall
+from endivespindle.serving.directory import ServerDirectory
+from endivespindle.serving.tests.configs import server
+from tests.fleet_fakes import ScriptedAnswer, ScriptedServers, lost
+from tests.virtual_loop import LoopClock, run_virtual
+
+NOT_RUN = ScriptedAnswer(status=503, not_run=True)
+
+
+def _forward(answer, *, servers=3, may_repeat=True, **plan):
+    """Forwards one request; returns its outcome and who was sent it."""
+
+    async def run():
+        clock = LoopClock(loop=asyncio.get_running_loop())
+        directory = ServerDirectory(clock=clock)
+        for number in range(servers):
+            directory.put(server(f"s{number}"))
+        api = ScriptedServers(answer)
+        forwarder = Forwarder(
+            api=api,
+            directory=directory,
+            clock=clock,
+            rng=random.Random(3),
+            data_centre="a",
+            log=DecisionLog(clock=clock, fields={}),
+            metrics=NodeMetrics(),
+        )
+        call = ServerCall(
+            request_id="r1",
+            method="POST",
+            target="/orders/1",
+            host="app.example",
+            headers=(),
+            body=b"",
+            may_repeat=may_repeat,
+        )
+        fields = {
+            "service": "plain",
+            "may_repeat": may_repeat,
+            "max_attempts": 3,
+            "target_latency_s": 0.2,
+            "deadline_s": clock.monotonic() + 2.0,
+        }
+        try:
+            outcome = await forwarder.forward(
+                call, ForwardPlan(**(fields | plan))
+            )
+        except RefusedError as exc:
+            outcome = exc
+        return outcome, [name for name, _ in api.sent], clock.monotonic()
+
+    return run_virtual(run())
+
+
+def _first_then(first, then):
+    """Answers the first request one way and those after it another."""
+    answers = iter([first])
+    return lambda name, call: next(answers, then)
+
+
+def test_a_request_that_may_be_repeated_goes_on_elsewhere():
+    ok = ScriptedAnswer(body=b"yes")
+    outcome, sent, _ = _forward(_first_then(lost(), ok))
+    assert outcome.body == b"yes"
+    assert len(set(sent)) == 2
+
+
+def test_a_request_that_may_have_run_is_not_repeated():
+    outcome, sent, _ = _forward(lambda *_: lost(), may_repeat=False)
+    assert outcome.ran is RunState.UNKNOWN
+    assert len(sent) == 1
+
+
+def test_a_request_that_did_not_run_is_sent_elsewhere_whatever_it_is():
+    ok = ScriptedAnswer(body=b"yes")
+    answer = _first_then(lost(RunState.NOT_RUN), ok)
+    outcome, sent, _ = _forward(answer, may_repeat=False)
+    assert outcome.body == b"yes"
+    assert len(sent) == 2
+
+
+def test_all_servers_full_is_refused_at_once_as_not_run():
+    outcome, sent, took_s = _forward(lambda *_: NOT_RUN)
+    assert outcome.ran is RunState.NOT_RUN
+    assert 0 < outcome.retry_after_s <= 1.0
+    assert (len(sent), took_s < 0.1) == (3, True)
+
+
+def test_no_more_servers_run_it_than_are_allowed():
+    _, sent, _ = _forward(lambda *_: lost(), servers=6, max_attempts=2)
+    assert len(sent) == 2
+
+
+def test_a_failure_that_stays_is_passed_on_unchanged():
+    failed = ScriptedAnswer(status=500, body=b"broken")
+    outcome, sent, _ = _forward(lambda *_: failed)
+    assert (outcome.head.status, outcome.body) == (500, b"broken")
+    assert len(sent) == 3
+
+
+def test_a_silent_server_is_overtaken_by_a_second_attempt():
+    ok = ScriptedAnswer(body=b"yes")
+
+    async def never():
+        await asyncio.sleep(60)
+
+    outcome, sent, took_s = _forward(_first_then(never, ok))
+    assert outcome.body == b"yes"
+    assert len(sent) == 2
+    assert took_s < 0.2
+
+
+def test_a_request_still_running_at_its_deadline_is_unknown():
+    async def never():
+        await asyncio.sleep(60)
+
+    outcome, sent, took_s = _forward(lambda *_: never, may_repeat=False)
+    assert outcome.ran is RunState.UNKNOWN
+    assert took_s == pytest.approx(2.0, abs=0.01)
+    assert len(sent) == 1
+
+
+def test_without_servers_the_refusal_is_immediate():
+    outcome, _, took_s = _forward(lambda *_: None, servers=0)
+    assert (outcome.ran, took_s) == (RunState.NOT_RUN, 0)
--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -3,10 +3,12 @@
 import asyncio
 import datetime
 import selectors
+from collections.abc import Coroutine
+from typing import Any
 
 from endivespindle.core.clock import Clock
 
-__all__ = ["LoopClock", "VirtualLoop"]
+__all__ = ["LoopClock", "VirtualLoop", "run_virtual"]
 
 _START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 _WAIT_FOR_THREADS_S = 0.2
@@ -53,3 +55,19 @@
 
     def now(self) -> datetime.datetime:
         return _START + datetime.timedelta(seconds=self._loop.time())
+
+
+def run_virtual(main: Coroutine[Any, Any, Any]) -> Any:
+    """Runs a coroutine on virtual time and ends what it left running."""
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(main)
+    finally:
+        left = asyncio.all_tasks(loop)
+        for task in left:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
+        loop.run_until_complete(loop.shutdown_asyncgens())
+        asyncio.set_event_loop(None)
+        loop.close()
