Move texts off slow servers, and tell gateways of loads as they are ordered

Change: servers' pace is measured; long texts go to fast servers and leave slow ones after their last event (batch/pace.py). The controller plans as a version is named, counts a load as done after 1 s, and tells the gateways. Ruled out: the flush of results (0.3 s) and the reward calls.

--- a/endivespindle/batch/job.py
+++ b/endivespindle/batch/job.py
@@ -86,9 +86,17 @@
         submission: The job as accepted.
         ended: Whether the job was ended.
         items: Items that are not listed yet, by identity.
+        tokens_per_event: Tokens that an event of this job's engines holds.
     """
 
-    __slots__ = ("_fresh", "_listed", "ended", "items", "submission")
+    __slots__ = (
+        "_fresh",
+        "_listed",
+        "ended",
+        "items",
+        "submission",
+        "tokens_per_event",
+    )
 
     def __init__(
         self,
@@ -99,6 +107,7 @@
     ):
         self.submission = submission
         self.ended = ended
+        self.tokens_per_event = 1
         self._listed = list(results)
         self._fresh: list[ItemResult] = []
         done = {result.item_id for result in results}
--- a/endivespindle/batch/schedule.py
+++ b/endivespindle/batch/schedule.py
@@ -6,19 +6,28 @@
 import msgspec
 
 from endivespindle.batch.job import ItemState, JobState
+from endivespindle.batch.pace import best_pace, expected_events
 from endivespindle.batch.submission import length_hint
 from endivespindle.serving.directory import ServerView
 
-__all__ = ["Placement", "order_items", "place_items"]
+__all__ = ["Placement", "hint_events", "order_items", "place_items"]
 
 # Requests kept at a server beyond its slots, so that a slot that falls free
 # is taken at once; the round trip is short against an item.
 _QUEUE_AHEAD = 1
-# Cost of another data centre, in slots of load: breaks ties only.
-_REMOTE_COST = 0.05
-# Advantage, as a share of the slots, of the server that has the group's
-# prompt in its cache.
-_SAME_GROUP_GAIN = 0.15
+# Seconds that a server with all slots taken adds to a text: each step of the
+# engine takes a little longer for each request that it runs.
+_FULL_LOAD_S = 0.3
+# Cost of another data centre, in seconds: breaks ties only.
+_REMOTE_S = 0.01
+# Seconds saved at the server that has the group's prompt in its cache.
+_SAME_GROUP_S = 0.05
+# Seconds by which another server must be slower for a text to go back to the
+# one that it left.
+_LEFT_S = 1.0
+# Range of a random cost, in seconds: VMs with the same news do not all choose
+# the same server.
+_SPREAD_S = 0.02
 
 
 class Placement(msgspec.Struct, kw_only=True, frozen=True):
@@ -73,7 +82,9 @@
     """Returns the items to send now, and where to.
 
     Jobs with the earliest due time go first. A server takes items up to its
-    slots, counting what other VMs have there as far as it is known.
+    slots, counting what other VMs have there as far as it is known; of those
+    with a free slot, the one expected to end the text soonest is taken, so
+    that long texts go to fast servers.
 
     Args:
         jobs: Open jobs of this VM.
@@ -88,12 +99,20 @@
     for job in sorted(jobs, key=_due_ms):
         views = servers.get(job.submission.service, ())
         usable = [v for v in views if _may_generate(v, job)]
+        best_s = best_pace(views)
         for state in order_items(job):
             if state.not_before_s > now_s:
                 continue
             home = homes.get((job.submission.job_id, state.item.group))
-            view = _least_loaded(
-                usable, extra, home=home, data_centre=data_centre, rng=rng
+            view = _soonest_done(
+                usable,
+                extra,
+                events=hint_events(job, state),
+                best_s=best_s,
+                home=home,
+                avoid=state.server if state.pieces else None,
+                data_centre=data_centre,
+                rng=rng,
             )
             if view is None:
                 break
@@ -104,6 +123,14 @@
     return placed
 
 
+def hint_events(job: JobState, state: ItemState) -> float:
+    """Returns the events that an item is still expected to need."""
+    return expected_events(
+        hint_events=length_hint(state.item) / max(1, job.tokens_per_event),
+        done=len(state.pieces),
+    )
+
+
 def _due_ms(job: JobState) -> float:
     return job.submission.submitted_ms + job.submission.due_s * 1000
 
@@ -115,15 +142,18 @@
     return not sub.model or view.versions.get(sub.model, 0) >= sub.min_version
 
 
-def _least_loaded(
+def _soonest_done(
     views: Sequence[ServerView],
     extra: dict[str, int],
     *,
+    events: float,
+    best_s: float,
     home: str | None,
+    avoid: str | None,
     data_centre: str,
     rng: random.Random,
 ) -> ServerView | None:
-    """Returns the server with the smallest share of its slots taken."""
+    """Returns the server with a free slot that would end a text soonest."""
     best: ServerView | None = None
     best_cost = float("inf")
     for view in views:
@@ -131,9 +161,11 @@
         load = view.load() + extra.get(view.entry.name, 0)
         if load >= slots + _QUEUE_AHEAD:
             continue
-        cost = load / slots + rng.random() / slots
-        cost += _REMOTE_COST * (view.entry.data_centre != data_centre)
-        cost -= _SAME_GROUP_GAIN * (view.entry.name == home)
+        cost = events * (view.pace_s or best_s)
+        cost += _FULL_LOAD_S * load / slots + _SPREAD_S * rng.random()
+        cost += _REMOTE_S * (view.entry.data_centre != data_centre)
+        cost -= _SAME_GROUP_S * (view.entry.name == home)
+        cost += _LEFT_S * (view.entry.name == avoid)
         if cost < best_cost:
             best, best_cost = view, cost
     return best
--- a/endivespindle/core/reasons.py
+++ b/endivespindle/core/reasons.py
@@ -142,6 +142,7 @@
     BACKEND_LOST = "backend_lost"
     BACKEND_FAILED = "backend_failed"
     SERVER_LEAVING = "server_leaving"
+    SERVER_SLOW = "server_slow"
     HEDGE = "hedge"
     RESUME = "resume"
     SAMPLE_STALE = "sample_stale"
--- a/endivespindle/platform/documents.py
+++ b/endivespindle/platform/documents.py
@@ -82,6 +82,8 @@
     slots: int
     kv_cache_tokens: int
     models: list[_Model] = []
+    # Tokens in one event of a stream.
+    stride: int = 1
 
 
 class _Scaling(msgspec.Struct, rename="camel"):
@@ -243,6 +245,7 @@
             slots=doc.engine.slots,
             cache_tokens=doc.engine.kv_cache_tokens,
             models=tuple(model.name for model in doc.engine.models),
+            tokens_per_event=max(1, doc.engine.stride),
         )
     scaling = None
     if doc.scaling is not None:
--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -1,6 +1,7 @@
 """The role that acts for the whole fleet, one node at a time."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 import msgspec
@@ -19,6 +20,7 @@
     BackendServerError,
     ConflictError,
     MessageError,
+    PeerError,
     PlatformError,
 )
 from endivespindle.leases.lease import Lease
@@ -34,7 +36,7 @@
 from endivespindle.platform.servers import PlatformServers
 from endivespindle.runtime.context import NodeParts
 from endivespindle.runtime.following import follow_config, follow_servers
-from endivespindle.runtime.peer_calls import NodeNews
+from endivespindle.runtime.peer_calls import LoadNews, NodeNews, PeerCalls
 from endivespindle.runtime.peer_server import PeerServer
 from endivespindle.runtime.relay import KindFeed, RelayAsk, RelayReply
 from endivespindle.runtime.settings import NodeRole
@@ -70,6 +72,9 @@
 # A load that has not shown in a server's entry after this long is ordered
 # again: entries are written each 1.2 s, a load takes 0.9 s and more.
 _LOAD_PATIENCE_S = 4.0
+# Time after which an accepted load is expected to have ended: 0.9 s while few
+# servers load. Work that is sent too soon is turned away and comes back.
+_LOAD_S = 1.0
 _FROZEN_KIND = "usage-reports"
 _CAPACITY_INTERVAL_S = 1.0
 
@@ -82,6 +87,7 @@
         store: The object API.
         operations: The platform's operations API, if there is one.
         peer_server: Listens for calls of other nodes.
+        peers: Calls other nodes.
     """
 
     __slots__ = (
@@ -96,12 +102,14 @@
         "_named",
         "_operations",
         "_parts",
+        "_peers",
         "_required",
         "_retired",
         "_servers",
         "_session",
         "_store",
         "_task",
+        "_version_named",
     )
 
     def __init__(
@@ -111,6 +119,7 @@
         store: StatusStore,
         operations: Operations | None,
         peer_server: PeerServer,
+        peers: PeerCalls,
     ):
         settings = parts.settings
         self._parts = parts
@@ -138,7 +147,9 @@
         self._directory = ServerDirectory(clock=parts.clock)
         self._named: dict[str, int] = {}
         self._required: dict[str, dict[str, int]] = {}
-        self._loading: dict[str, tuple[LoadOrder, float]] = {}
+        self._loading: dict[tuple[str, str], tuple[LoadOrder, float]] = {}
+        self._version_named = asyncio.Event()
+        self._peers = peers
         self._retired: set[str] = set()
         self._capacity: dict[tuple[str, str, bool], int] = {}
         self._task: asyncio.Task[None] | None = None
@@ -263,6 +274,7 @@
             return
         known = self._named.get(named.model, 0)
         self._named[named.model] = max(known, named.version)
+        self._version_named.set()
 
     def _take_retirement(self, obj: StoredObject) -> None:
         if obj.value is None:
@@ -299,11 +311,13 @@
     async def _order_loads(self) -> None:
         """Orders weight versions as they are named."""
         while True:
-            await asyncio.sleep(_TICK_S)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._version_named.wait(), _TICK_S)
+            self._version_named.clear()
             config = self._config.config
             if config is None:
                 continue
-            self._settle_loads()
+            loading, ordered = self._loads_under_way()
             for spec in config.services:
                 if spec.engine is None:
                     continue
@@ -316,7 +330,8 @@
                     self._directory.open_servers(spec.name),
                     named=named,
                     required=self._required_versions(),
-                    loading={n: o for n, (o, _) in self._loading.items()},
+                    loading=loading,
+                    ordered=ordered,
                 )
                 await asyncio.gather(*(self._load(order) for order in orders))
 
@@ -327,25 +342,39 @@
                 required[model] = max(version, required.get(model, 0))
         return required
 
-    def _settle_loads(self) -> None:
-        """Forgets loads that are done, or that have taken too long."""
+    def _loads_under_way(
+        self,
+    ) -> tuple[dict[str, LoadOrder], dict[tuple[str, str], int]]:
+        """Returns the loads that go on, and those that should have ended.
+
+        The latter hold until the server's entry tells of them, or for so
+        long that they must have failed.
+        """
         now_s = self._parts.clock.monotonic()
-        for name, (order, sent_s) in list(self._loading.items()):
-            view = self._directory.get(name)
-            done = (
+        loading: dict[str, LoadOrder] = {}
+        ordered: dict[tuple[str, str], int] = {}
+        for key, (order, sent_s) in list(self._loading.items()):
+            view = self._directory.get(order.server)
+            age_s = now_s - sent_s
+            known = view.versions.get(order.model, 0) if view else 0
+            if (
                 view is None
-                or view.versions.get(order.model, 0) >= order.version
-                or now_s - sent_s >= _LOAD_PATIENCE_S
-            )
-            if done:
-                del self._loading[name]
+                or age_s >= _LOAD_PATIENCE_S
+                or known >= order.version
+            ):
+                del self._loading[key]
+            elif age_s < _LOAD_S:
+                loading[order.server] = order
+            else:
+                ordered[key] = order.version
+        return loading, ordered
 
     async def _load(self, order: LoadOrder) -> None:
         view = self._directory.get(order.server)
         if view is None or not self._lease.may_send(timeout_s=_ACT_TIMEOUT_S):
             return
-        clock = self._parts.clock
-        self._loading[order.server] = (order, clock.monotonic())
+        key = (order.server, order.model)
+        self._loading[key] = (order, self._parts.clock.monotonic())
         fence = self._fence()
         try:
             answer = await self._servers.order_version(
@@ -362,8 +391,10 @@
             outcome = exc.reason.code
         else:
             outcome = "accepted" if answer.accepted else "refused"
-            if not answer.accepted:
-                del self._loading[order.server]
+            if answer.accepted:
+                await self._tell_load(order)
+            else:
+                self._loading.pop(key, None)
         self._parts.log.decided(
             "load_ordered",
             server=order.server,
@@ -374,6 +405,24 @@
             outcome=outcome,
         )
 
+    async def _tell_load(self, order: LoadOrder) -> None:
+        """Tells the gateways that run jobs of a model of a load."""
+        news = LoadNews(
+            server=order.server,
+            model=order.model,
+            version=order.version,
+            ready_s=_LOAD_S,
+        )
+        nodes = [
+            node
+            for node in self._parts.fleet.peers(NodeRole.GATEWAY)
+            if order.model in self._required.get(node.name, {})
+        ]
+        for node in nodes:
+            with contextlib.suppress(PeerError):
+                # A gateway that was not told learns it from the entry.
+                await self._peers.post(node, "/loads", news)
+
     async def _report_usage(self) -> None:
         """Reports each window once its counts are final."""
         while self._operations is not None:
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -17,7 +17,7 @@
 from endivespindle.runtime.job_runner import JobRunner
 from endivespindle.runtime.job_service import JobService
 from endivespindle.runtime.job_store import JobStore
-from endivespindle.runtime.peer_calls import NodeNews, PeerCalls
+from endivespindle.runtime.peer_calls import LoadNews, NodeNews, PeerCalls
 from endivespindle.runtime.peer_server import PeerServer
 from endivespindle.runtime.relay import RelayedStore
 from endivespindle.runtime.sessions import open_node_session
@@ -44,6 +44,9 @@
 # ones, and in any case.
 _NEWS_INTERVAL_S = 0.25
 _NEWS_REST_S = 1.0
+# A node tells of a model for this long after its last job of it: the next step
+# is likely to run here, too.
+_RECENT_JOBS_S = 20.0
 # Callers' connections idle for longer are closed; the configuration's own
 # bound is as long in all deployments seen, and connections are not reopened
 # for it.
@@ -165,6 +168,7 @@
             news=self._jobs.take_news,
             assign=self._jobs.take_assignment,
         )
+        peer_server.serve_loads(self._take_load)
 
     async def start(self) -> None:
         """Begins to follow the store and to listen."""
@@ -249,6 +253,11 @@
         )
         return web.Response(status=200 if ready else 503)
 
+    def _take_load(self, news: LoadNews) -> None:
+        view = self._directory.get(news.server)
+        if view is not None:
+            view.expect_version(news.model, news.version, news.ready_s)
+
     async def _tell_controllers(self) -> None:
         """Tells the controllers what was counted, when there is news."""
         told: NodeNews | None = None
@@ -269,9 +278,11 @@
 
     def _news(self) -> NodeNews:
         required: dict[str, int] = {}
+        since_ms = (self._parts.clock.now().timestamp() - _RECENT_JOBS_S) * 1000
         for job in self._runner.jobs.values():
             sub = job.state.submission
-            if job.is_open and sub.model:
+            recent = job.is_open or sub.submitted_ms >= since_ms
+            if recent and sub.model:
                 known = required.get(sub.model, 0)
                 required[sub.model] = max(known, sub.min_version)
         return NodeNews(counts=self._usage.news(), required=required)
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -9,8 +9,9 @@
 import msgspec
 
 from endivespindle.batch.job import ItemPhase, ItemState, JobState
+from endivespindle.batch.pace import best_pace, should_move
 from endivespindle.batch.progress import JobProgress
-from endivespindle.batch.schedule import place_items
+from endivespindle.batch.schedule import hint_events, place_items
 from endivespindle.core.clock import Clock
 from endivespindle.core.reasons import Reason, RetryReason
 from endivespindle.exceptions import (
@@ -57,6 +58,8 @@
 # A stream that says nothing for this long comes from a server that fell
 # silent: far over the pause of a weight change.
 _SILENCE_S = 3.0
+# Weight of the newest gap between two events in a text's moving average.
+_PACE_SMOOTHING = 0.3
 # Deadline of one attempt at a reward call, and pause between two.
 _REWARD_DEADLINE_S = 2.0
 _REWARD_PAUSE_S = 0.2
@@ -124,6 +127,29 @@
             task.cancel()
 
 
+class _Pace:
+    """Seconds between the events of one answer, as of late."""
+
+    __slots__ = ("_clock", "_last_s", "average_s", "events")
+
+    def __init__(self, *, clock: Clock):
+        self._clock = clock
+        self._last_s = clock.monotonic()
+        self.average_s = 0.0
+        self.events = 0
+
+    def event(self) -> float:
+        """Counts an event; returns the seconds since the one before."""
+        now_s = self._clock.monotonic()
+        gap_s = now_s - self._last_s
+        self._last_s = now_s
+        self.events += 1
+        if self.events > 1:
+            known = self.average_s or gap_s
+            self.average_s = known + _PACE_SMOOTHING * (gap_s - known)
+        return gap_s
+
+
 class JobRunner:
     """Places items, receives their texts, and lists their results.
 
@@ -193,6 +219,7 @@
     def add(self, stored: StoredJob, *, asked_s: float) -> OwnedJob:
         """Begins to run a job that this node owns."""
         job = OwnedJob(stored=stored, confirmed_s=asked_s)
+        self._set_engine(job)
         self.jobs[job.job_id] = job
         if job.is_open:
             asyncio.create_task(self._flush_results(job))
@@ -255,6 +282,11 @@
             await self._save(job, owner=owner_id)
             self._lose(job, owner_id)
 
+    def _set_engine(self, job: OwnedJob) -> None:
+        spec = self._config.service(job.state.submission.service)
+        if spec is not None and spec.engine is not None:
+            job.state.tokens_per_event = spec.engine.tokens_per_event
+
     def _age_s(self, job: OwnedJob) -> float:
         return self._clock.monotonic() - job.confirmed_s
 
@@ -374,6 +406,19 @@
             view.answered_with(sub.model, version)
         if version < sub.min_version:
             return "stale_version"
+        return await self._take_events(job, state, view, answer, version)
+
+    async def _take_events(
+        self,
+        job: OwnedJob,
+        state: ItemState,
+        view: ServerView,
+        answer: Answer,
+        version: int,
+    ) -> str:
+        """Reads a text's events; returns how they ended."""
+        sub = job.state.submission
+        pace = _Pace(clock=self._clock)
         async for event in _unless_silent(answer):
             if event.weight_version is not None:
                 version = event.weight_version
@@ -384,8 +429,38 @@
             if not state.take(event, version):
                 state.forget_text()
                 return "out_of_order"
+            gap_s = pace.event()
+            if pace.events > 1:
+                # The first event follows the prompt, not another event.
+                view.saw_event(gap_s)
+            if self._should_move(job, state, view, pace):
+                self._metrics.retried(RetryReason.SERVER_SLOW)
+                return "moved"
         return "whole" if state.pieces else "empty"
 
+    def _should_move(
+        self, job: OwnedJob, state: ItemState, view: ServerView, pace: _Pace
+    ) -> bool:
+        """Tells whether a text should go on at a faster server."""
+        sub = job.state.submission
+        if sub.single_version:
+            return False
+        others = [
+            other
+            for other in self._directory.open_servers(sub.service)
+            if other is not view
+            and not other.is_paused()
+            and other.takes_model(sub.model)
+            and other.versions.get(sub.model, 0) >= sub.min_version
+            and other.load() < other.entry.slots
+        ]
+        return bool(others) and should_move(
+            pace_s=pace.average_s,
+            best_s=best_pace(others),
+            done=pace.events,
+            rest=hint_events(job.state, state),
+        )
+
     def _failed(self, job: OwnedJob, state: ItemState, status: int) -> str:
         """Takes in an answer that is a failure."""
         if status == _REJECTED:
@@ -529,6 +604,7 @@
         )
         job.cancel_items()
         job.state = state
+        self._set_engine(job)
         job.progress = stored.progress
         job.version = stored.version
         job.notify()
--- a/endivespindle/runtime/node.py
+++ b/endivespindle/runtime/node.py
@@ -105,6 +105,7 @@
                 store=self._store,
                 operations=self._operations(),
                 peer_server=self._peer_server,
+                peers=PeerCalls(session=self._sessions[0]),
             )
 
     async def start(self) -> None:
--- a/endivespindle/runtime/peer_calls.py
+++ b/endivespindle/runtime/peer_calls.py
@@ -15,6 +15,7 @@
     "JobAsk",
     "JobNews",
     "JobReply",
+    "LoadNews",
     "NodeNews",
     "PeerCalls",
     "ReadState",
@@ -90,6 +91,22 @@
     required: dict[str, int]
 
 
+class LoadNews(msgspec.Struct, kw_only=True):
+    """Tells gateways that a server is loading a version.
+
+    Attributes:
+        server: Name of the server.
+        model: Model.
+        version: Version that it loads.
+        ready_s: Seconds after which it is expected to be there.
+    """
+
+    server: str
+    model: str
+    version: int
+    ready_s: float
+
+
 class PeerCalls:
     """Calls other nodes.
 
--- a/endivespindle/runtime/peer_server.py
+++ b/endivespindle/runtime/peer_server.py
@@ -7,7 +7,13 @@
 from aiohttp import web
 
 from endivespindle.batch.submission import BatchSubmission
-from endivespindle.runtime.peer_calls import JobAsk, JobNews, JobReply, NodeNews
+from endivespindle.runtime.peer_calls import (
+    JobAsk,
+    JobNews,
+    JobReply,
+    LoadNews,
+    NodeNews,
+)
 from endivespindle.runtime.relay import RelayAsk, RelayReply
 from endivespindle.runtime.telemetry import NodeMetrics
 
@@ -70,6 +76,15 @@
 
         self._routes["/node/news"] = tell
 
+    def serve_loads(self, take: Callable[[LoadNews], None]) -> None:
+        """Takes what a controller tells of loads."""
+
+        async def tell(body: bytes) -> bytes:
+            take(_decode(body, LoadNews))
+            return b""
+
+        self._routes["/loads"] = tell
+
     def serve_relay(
         self, answer: Callable[[RelayAsk], Awaitable[RelayReply | None]]
     ) -> None:
--- a/endivespindle/serving/configuration.py
+++ b/endivespindle/serving/configuration.py
@@ -70,11 +70,19 @@
 
 
 class EngineSpec(msgspec.Struct, kw_only=True, frozen=True):
-    """What the model engines of a service are like."""
+    """What the model engines of a service are like.
+
+    Attributes:
+        slots: Requests an engine runs at once.
+        cache_tokens: Tokens it keeps in memory.
+        models: Names of the models it holds.
+        tokens_per_event: Tokens that one event of a stream holds.
+    """
 
     slots: int
     cache_tokens: int
     models: tuple[str, ...]
+    tokens_per_event: int = 1
 
 
 class ScalingSpec(msgspec.Struct, kw_only=True, frozen=True):
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -17,6 +17,8 @@
 _MAX_DOUBLINGS = 5
 # Weight of the newest outcome or duration in its moving average.
 _SMOOTHING = 0.2
+# The same for the pace of events, of which there are many a second.
+_PACE_SMOOTHING = 0.05
 # Age at which another VMs' share of a reported load counts half: reports come
 # with answers, and an answer holds a slot for about this long.
 _LOAD_HALF_LIFE_S = 1.0
@@ -67,6 +69,7 @@
         versions: Weight versions, as of the newest news of any source.
         failure_share: Moving average of failed exchanges.
         duration_s: Moving average of the seconds an exchange takes.
+        pace_s: Moving average of the seconds between two events of a text.
     """
 
     __slots__ = (
@@ -81,6 +84,7 @@
         "entry",
         "failure_share",
         "in_flight",
+        "pace_s",
         "versions",
     )
 
@@ -97,6 +101,7 @@
         self.versions = dict(entry.versions)
         self.failure_share = 0.0
         self.duration_s = 0.0
+        self.pace_s = 0.0
 
     def update(self, entry: ServerEntry) -> None:
         """Takes in a newer entry of the same incarnation."""
@@ -141,6 +146,25 @@
         """Tells whether recent failures speak against this server."""
         return self._clock.monotonic() < self._paused_until_s
 
+    def saw_event(self, pace_s: float) -> None:
+        """Takes in the seconds between two events of a text."""
+        known = self.pace_s or pace_s
+        self.pace_s = known + _PACE_SMOOTHING * (pace_s - known)
+
+    def expect_version(self, model: str, version: int, ready_s: float) -> None:
+        """Takes in that a version is being loaded, and when it is there.
+
+        Work for the model goes elsewhere until then. An answer that comes
+        under another version sets this right.
+
+        Args:
+            model: Model.
+            version: Version that is being loaded.
+            ready_s: Seconds after which it is expected to be there.
+        """
+        self.versions[model] = max(version, self.versions.get(model, 0))
+        self.hold_model(model, ready_s)
+
     def hold_model(self, model: str, seconds: float) -> None:
         """Sends a model's work elsewhere for a while, as weights load."""
         self._held_models[model] = self._clock.monotonic() + seconds
--- a/endivespindle/weights/load_plan.py
+++ b/endivespindle/weights/load_plan.py
@@ -25,7 +25,9 @@
 
 
 def assign_homes(
-    servers: Sequence[ServerView], named: Mapping[str, int]
+    servers: Sequence[ServerView],
+    named: Mapping[str, int],
+    ordered: Mapping[tuple[str, str], int] | None = None,
 ) -> dict[str, list[ServerView]]:
     """Returns the servers that each model's versions are loaded on.
 
@@ -38,9 +40,12 @@
     Args:
         servers: Servers of one service that take new work.
         named: Newest version by model.
+        ordered: Versions whose loads were accepted a moment ago, by server
+            and model.
     """
     if not named:
         return {}
+    ordered = ordered or {}
     share = -(-len(servers) * _HOME_FACTOR // len(named))
     share = max(1, min(len(servers), share))
     homes: dict[str, list[ServerView]] = {model: [] for model in named}
@@ -53,7 +58,7 @@
             view = min(
                 free,
                 key=lambda v: (
-                    max(0, named[model] - v.versions.get(model, 0) - 1),
+                    max(0, named[model] - _version(v, model, ordered) - 1),
                     taken[v.entry.name],
                     v.entry.name,
                 ),
@@ -69,6 +74,7 @@
     named: Mapping[str, int],
     required: Mapping[str, int],
     loading: Mapping[str, LoadOrder],
+    ordered: Mapping[tuple[str, str], int] | None = None,
 ) -> list[LoadOrder]:
     """Returns the loads to order now, the most urgent first.
 
@@ -83,16 +89,19 @@
         named: Newest version by model.
         required: Oldest version that open jobs accept, by model.
         loading: Orders under way, by server.
+        ordered: Versions whose loads were accepted a moment ago, by server
+            and model; a server's own entry tells of them later.
     """
+    ordered = ordered or {}
     orders: list[tuple[int, LoadOrder]] = []
-    for model, homes in assign_homes(servers, named).items():
+    for model, homes in assign_homes(servers, named, ordered).items():
         newest = named[model]
         least = max(required.get(model, 0), newest - 1)
-        behind = [v for v in homes if v.versions.get(model, 0) < least]
+        behind = [v for v in homes if _version(v, model, ordered) < least]
         current = [
             v
             for v in homes
-            if v.versions.get(model, 0) >= newest
+            if _version(v, model, ordered) >= newest
             or _is_loading(v, model, newest, loading)
         ]
         wanted = list(behind)
@@ -114,6 +123,13 @@
     return list(chosen.values())
 
 
+def _version(
+    view: ServerView, model: str, ordered: Mapping[tuple[str, str], int]
+) -> int:
+    known = view.versions.get(model, 0)
+    return max(known, ordered.get((view.entry.name, model), 0))
+
+
 def _is_loading(
     view: ServerView,
     model: str,
