--- /dev/null
+++ b/endivespindle/standins/users_server.py
@@ -0,0 +1,188 @@
+"""A backend server of the users: plain requests, texts, and weight orders."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+__all__ = ["UsersServerFaults", "UsersServerStandin"]
+
+_EVENT_S = 0.01
+
+
+class UsersServerFaults:
+    """How a backend server misbehaves just now.
+
+    Attributes:
+        full: Turns every request away as not run.
+        break_after: Events after which each stream is reset; 0 for none.
+        failures: Coming requests that are answered 500.
+        lose_answers: Coming requests that run while their answer is lost.
+        other_id: Coming answers that name another request.
+        event_s: Seconds for each event.
+    """
+
+    __slots__ = (
+        "break_after",
+        "event_s",
+        "failures",
+        "full",
+        "lose_answers",
+        "other_id",
+    )
+
+    def __init__(self) -> None:
+        self.full = False
+        self.break_after = 0
+        self.failures = 0
+        self.lose_answers = 0
+        self.other_id = 0
+        self.event_s = _EVENT_S
+
+
+class UsersServerStandin:
+    """Runs requests of one service.
+
+    Args:
+        name: Identity of this incarnation.
+        service: Service it belongs to.
+        models: Weight version by model; none for a plain service.
+        events: Events of each text.
+
+    Attributes:
+        faults: How it misbehaves.
+        runs: Requests it ran: identity, client account, last event.
+        orders: Weight orders it took, with their fences.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        models: dict[str, int] | None = None,
+        events: int = 5,
+    ):
+        self.name = name
+        self.service = service
+        self.models = dict(models or {})
+        self.events = events
+        self.faults = UsersServerFaults()
+        self.runs: list[tuple[str, str, int]] = []
+        self.orders: list[tuple[str, int, str, int]] = []
+        self._runner: web.AppRunner | None = None
+        self.port = 0
+
+    async def start(self) -> None:
+        """Begins to listen on a free port of this machine."""
+        app = web.Application()
+        app.router.add_post("/order", self._order)
+        app.router.add_route("*", "/{path:.*}", self._run)
+        self._runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        self.port = self._runner.addresses[0][1]
+
+    async def stop(self) -> None:
+        """Stops listening, as a crash would."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def entry(self, *, state: str = "ready") -> dict[str, Any]:
+        """Returns what it writes into the store of itself."""
+        return {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "coldLeftMs": 0,
+            "born": 1,
+            "models": [
+                {"name": name, "version": version, "adapters": []}
+                for name, version in self.models.items()
+            ],
+            "sequence": 0,
+        }
+
+    async def _run(self, request: web.Request) -> web.StreamResponse:
+        if request.headers.get("X-Expect-Instance") != self.name:
+            return web.Response(status=421)
+        if self.faults.full:
+            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+        request_id = request.headers["X-Request-Id"]
+        last = int(request.headers.get("Last-Event-Id", "0"))
+        account = request.headers.get("X-Tenant", "")
+        body = await request.read()
+        self.runs.append((request_id, account, last))
+        headers = {
+            "X-Request-Id": request_id,
+            "X-Server-Stamp": f"{self.name}.{request_id}",
+            "X-Server-Load": "1,0,8",
+        }
+        if self.faults.failures > 0:
+            self.faults.failures -= 1
+            return web.Response(status=500, headers=headers)
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return _reset(request)
+        if self.faults.other_id > 0:
+            self.faults.other_id -= 1
+            headers["X-Request-Id"] = "another"
+        model = request.headers.get("X-Model")
+        if model is None:
+            return web.Response(body=b"echo:" + body, headers=headers)
+        return await self._stream(request, headers, model, last)
+
+    async def _stream(
+        self,
+        request: web.Request,
+        headers: dict[str, str],
+        model: str,
+        last: int,
+    ) -> web.StreamResponse:
+        version = self.models[model]
+        resp = web.StreamResponse(
+            headers={
+                **headers,
+                "Content-Type": "text/event-stream",
+                "X-Weight-Versions": str(version),
+            }
+        )
+        await resp.prepare(request)
+        for number in range(last + 1, self.events + 1):
+            await asyncio.sleep(self.faults.event_s)
+            if self.faults.break_after and number > (
+                last + self.faults.break_after
+            ):
+                return _reset(request)
+            changed = b""
+            if self.models[model] != version:
+                version = self.models[model]
+                changed = b"x-weight-versions: %d\n" % version
+            await resp.write(
+                changed + b"id: %d\ndata: t%d\n\n" % (number, number)
+            )
+        await resp.write_eof()
+        return resp
+
+    async def _order(self, request: web.Request) -> web.StreamResponse:
+        if request.headers.get("X-Expect-Instance") != self.name:
+            return web.Response(status=421)
+        doc = msgspec.json.decode(await request.read())
+        self.orders.append(
+            (doc["owner"], doc["fencingToken"], doc["model"], doc["version"])
+        )
+        self.models[doc["model"]] = doc["version"]
+        return web.Response(status=202)
+
+
+def _reset(request: web.Request) -> web.StreamResponse:
+    """Breaks the connection off."""
+    if request.transport is not None:
+        request.transport.abort()
+    raise asyncio.CancelledError
