Stop a text when old weights come back, and number orders to servers

Cause: an order that a server carries out seconds late, after newer ones, takes its weights back. Change: a text stops before the first event under an old version and goes on elsewhere; an order names the number of orders accepted before it, taken from the server's report, so that a late one is refused. Ruled out: a wrong version in an answer's head; it named 5.

--- a/endivespindle/platform/servers.py
+++ b/endivespindle/platform/servers.py
@@ -23,6 +23,7 @@
     OrderAnswer,
     ServerApi,
     ServerCall,
+    ServerReport,
     StreamEvent,
     VersionOrder,
 )
@@ -43,6 +44,19 @@
 _SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
+class _Model(msgspec.Struct):
+    name: str
+    version: int = 1
+
+
+class _Report(msgspec.Struct):
+    # Orders accepted; in a server's entry in the store the same name counts
+    # its heartbeats.
+    sequence: int
+    busy: bool
+    models: list[_Model] = []
+
+
 class PlatformServers(ServerApi):
     """Speaks to backend servers.
 
@@ -109,6 +123,32 @@
             else:
                 resp.close()
 
+    async def report(
+        self, server: ServerEntry, *, timeout_s: float
+    ) -> ServerReport:
+        """Returns what a server says of itself."""
+        call = ServerCall(
+            request_id="report",
+            method="GET",
+            target="/report",
+            host=server.address,
+            headers=(),
+            body=b"",
+        )
+        async with self.send(server, call, timeout_s=timeout_s) as answer:
+            body = await answer.read()
+            if answer.head.status != 200:
+                raise _lost(f"report: status {answer.head.status}")
+        try:
+            doc = msgspec.json.decode(body, type=_Report)
+        except msgspec.MsgspecError as exc:
+            raise _lost(f"report: {exc}") from exc
+        return ServerReport(
+            orders=doc.sequence,
+            busy=doc.busy,
+            versions={model.name: model.version for model in doc.models},
+        )
+
     async def order_version(
         self, server: ServerEntry, order: VersionOrder, *, timeout_s: float
     ) -> OrderAnswer:
@@ -128,6 +168,8 @@
                     "mode": "retain",
                     "owner": order.holder,
                     "fencingToken": order.epoch,
+                    # Refused unless this many orders were accepted before.
+                    "expectRev": order.after,
                 }
             ),
             may_repeat=False,
--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import weakref
 from collections.abc import Callable
 
 import msgspec
@@ -41,8 +42,8 @@
 from endivespindle.runtime.relay import KindFeed, RelayAsk, RelayReply
 from endivespindle.runtime.settings import NodeRole
 from endivespindle.runtime.watching import KindFollower
-from endivespindle.serving.calls import VersionOrder
-from endivespindle.serving.directory import ServerDirectory
+from endivespindle.serving.calls import OrderAnswer, VersionOrder
+from endivespindle.serving.directory import ServerDirectory, ServerView
 from endivespindle.serving.in_force import ConfigInForce
 from endivespindle.store.held_lease import HeldLease
 from endivespindle.store.object_store import StatusStore, StoredObject
@@ -75,6 +76,9 @@
 # Time after which an accepted load is expected to have ended: 0.9 s while few
 # servers load. Work that is sent too soon is turned away and comes back.
 _LOAD_S = 1.0
+# Time for which a server that refused an order, or did not answer it, gets no
+# other.
+_ORDER_REST_S = 0.4
 _FROZEN_KIND = "usage-reports"
 _CAPACITY_INTERVAL_S = 1.0
 
@@ -91,6 +95,7 @@
     """
 
     __slots__ = (
+        "_accepted",
         "_book",
         "_capacity",
         "_config",
@@ -104,6 +109,7 @@
         "_parts",
         "_peers",
         "_required",
+        "_resting",
         "_retired",
         "_servers",
         "_session",
@@ -148,6 +154,10 @@
         self._named: dict[str, int] = {}
         self._required: dict[str, dict[str, int]] = {}
         self._loading: dict[tuple[str, str], tuple[LoadOrder, float]] = {}
+        self._accepted: weakref.WeakKeyDictionary[ServerView, int] = (
+            weakref.WeakKeyDictionary()
+        )
+        self._resting: dict[str, tuple[LoadOrder, float]] = {}
         self._version_named = asyncio.Event()
         self._peers = peers
         self._retired: set[str] = set()
@@ -231,6 +241,8 @@
         """Follows what the duties need, and carries them out."""
         parts = self._parts
         self._loading.clear()
+        self._accepted.clear()
+        self._resting.clear()
         self._book.begin(parts.clock.now().timestamp())
         follows = [
             self._follow(VERSION_KIND, self._take_version),
@@ -351,7 +363,11 @@
         long that they must have failed.
         """
         now_s = self._parts.clock.monotonic()
-        loading: dict[str, LoadOrder] = {}
+        loading = {
+            name: order
+            for name, (order, until_s) in self._resting.items()
+            if now_s < until_s
+        }
         ordered: dict[tuple[str, str], int] = {}
         for key, (order, sent_s) in list(self._loading.items()):
             view = self._directory.get(order.server)
@@ -371,30 +387,26 @@
 
     async def _load(self, order: LoadOrder) -> None:
         view = self._directory.get(order.server)
-        if view is None or not self._lease.may_send(timeout_s=_ACT_TIMEOUT_S):
+        if view is None:
             return
         key = (order.server, order.model)
         self._loading[key] = (order, self._parts.clock.monotonic())
         fence = self._fence()
         try:
-            answer = await self._servers.order_version(
-                view.entry,
-                VersionOrder(
-                    model=order.model,
-                    version=order.version,
-                    holder=fence.holder,
-                    epoch=fence.epoch,
-                ),
-                timeout_s=_ACT_TIMEOUT_S,
-            )
+            answer = await self._send_order(view, order, fence)
         except BackendServerError as exc:
             outcome = exc.reason.code
         else:
             outcome = "accepted" if answer.accepted else "refused"
-            if answer.accepted:
-                await self._tell_load(order)
-            else:
-                self._loading.pop(key, None)
+        if outcome == "accepted":
+            self._accepted[view] = self._accepted.get(view, 0) + 1
+            await self._tell_load(order)
+        else:
+            # The server's next report tells whether it was accepted.
+            self._accepted.pop(view, None)
+            self._loading.pop(key, None)
+            rest_s = self._parts.clock.monotonic() + _ORDER_REST_S
+            self._resting[order.server] = (order, rest_s)
         self._parts.log.decided(
             "load_ordered",
             server=order.server,
@@ -405,6 +417,29 @@
             outcome=outcome,
         )
 
+    async def _send_order(
+        self, view: ServerView, order: LoadOrder, fence: Fence
+    ) -> OrderAnswer:
+        """Sends an order that is refused if another one came in between."""
+        if view not in self._accepted:
+            report = await self._servers.report(
+                view.entry, timeout_s=_ACT_TIMEOUT_S
+            )
+            self._accepted[view] = report.orders
+        if not self._lease.may_send(timeout_s=_ACT_TIMEOUT_S):
+            return OrderAnswer(accepted=False)
+        return await self._servers.order_version(
+            view.entry,
+            VersionOrder(
+                model=order.model,
+                version=order.version,
+                holder=fence.holder,
+                epoch=fence.epoch,
+                after=self._accepted[view],
+            ),
+            timeout_s=_ACT_TIMEOUT_S,
+        )
+
     async def _tell_load(self, order: LoadOrder) -> None:
         """Tells the gateways that run jobs of a model of a load."""
         news = LoadNews(
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -423,6 +423,9 @@
             if event.weight_version is not None:
                 version = event.weight_version
                 view.answered_with(sub.model, version)
+            if version < sub.min_version:
+                # An order that was carried out late took old weights back.
+                return "stale_version"
             if sub.single_version and state.versions not in ([], [version]):
                 state.forget_text()
                 return "version_changed"
--- a/endivespindle/serving/calls.py
+++ b/endivespindle/serving/calls.py
@@ -15,6 +15,7 @@
     "ServerApi",
     "ServerCall",
     "ServerLoad",
+    "ServerReport",
     "StreamEvent",
     "VersionOrder",
 ]
@@ -128,12 +129,15 @@
         version: Version to load.
         holder: Who orders.
         epoch: Epoch of the lease under which it does.
+        after: Orders the server must have accepted so far; an order that is
+            carried out late, after others, is refused by it.
     """
 
     model: str
     version: int
     holder: str
     epoch: int
+    after: int
 
 
 class OrderAnswer(msgspec.Struct, kw_only=True, frozen=True):
@@ -148,6 +152,20 @@
     busy: bool = False
 
 
+class ServerReport(msgspec.Struct, kw_only=True, frozen=True):
+    """What a server says of itself, as of some hundred milliseconds ago.
+
+    Attributes:
+        orders: Orders it accepted since its start.
+        busy: Whether an order is in progress.
+        versions: Weight version by model.
+    """
+
+    orders: int
+    busy: bool
+    versions: dict[str, int]
+
+
 class ServerApi(abc.ABC):
     """Speaks to backend servers."""
 
@@ -166,6 +184,16 @@
             BackendServerError: No answer; it says whether it can have run.
         """
 
+    @abc.abstractmethod
+    async def report(
+        self, server: ServerEntry, *, timeout_s: float
+    ) -> ServerReport:
+        """Returns what a server says of itself.
+
+        Raises:
+            BackendServerError: No answer, or a malformed one.
+        """
+
     @abc.abstractmethod
     async def order_version(
         self, server: ServerEntry, order: VersionOrder, *, timeout_s: float
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -73,6 +73,7 @@
     """
 
     __slots__ = (
+        "__weakref__",
         "_clock",
         "_failures",
         "_held_models",
--- a/endivespindle/standins/users_server.py
+++ b/endivespindle/standins/users_server.py
@@ -78,6 +78,7 @@
         """Begins to listen on a free port of this machine."""
         app = web.Application()
         app.router.add_post("/order", self._order)
+        app.router.add_get("/report", self._report)
         app.router.add_route("*", "/{path:.*}", self._run)
         self._runner = web.AppRunner(
             app, access_log=None, handler_cancellation=True
@@ -170,10 +171,27 @@
         await resp.write_eof()
         return resp
 
+    async def _report(self, request: web.Request) -> web.StreamResponse:
+        del request
+        models = [
+            {"name": name, "version": version, "adapters": []}
+            for name, version in self.models.items()
+        ]
+        return web.json_response(
+            {
+                "stage": "both",
+                "models": models,
+                "busy": False,
+                "sequence": len(self.orders),
+            }
+        )
+
     async def _order(self, request: web.Request) -> web.StreamResponse:
         if request.headers.get("X-Expect-Instance") != self.name:
             return web.Response(status=421)
         doc = msgspec.json.decode(await request.read())
+        if doc.get("expectRev", len(self.orders)) != len(self.orders):
+            return web.Response(status=409)
         self.orders.append(
             (doc["owner"], doc["fencingToken"], doc["model"], doc["version"])
         )
--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -21,6 +21,7 @@
     AnswerHead,
     OrderAnswer,
     ServerApi,
+    ServerReport,
     StreamEvent,
 )
 from tests.virtual_loop import LoopClock
@@ -114,6 +115,12 @@
             raise answer
         yield answer
 
+    async def report(self, server, *, timeout_s):
+        del timeout_s
+        return ServerReport(
+            orders=len(self.orders), busy=False, versions=server.versions
+        )
+
     async def order_version(self, server, order, *, timeout_s):
         del timeout_s
         self.orders.append((server.name, order))
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -221,6 +221,29 @@
     _play(answer, story)
 
 
+def test_a_text_goes_on_elsewhere_when_old_weights_come_back():
+    """An order carried out late takes a server from version 5 back to 4."""
+
+    def answer(name, call):
+        if name == "e0" and not call.last_event_id:
+            return ScriptedAnswer(events=[1, (2, 4), 3], version=5)
+        first = int(call.last_event_id or 0) + 1
+        return ScriptedAnswer(events=list(range(first, 4)), version=5)
+
+    async def story(world):
+        for node in world.nodes:
+            node.directory.get("e0").answered_with("m", 5)
+            node.directory.get("e1").answered_with("m", 5)
+        await world.submit([item(f"i{n}") for n in range(4)], min_version=5)
+        await asyncio.sleep(3.0)
+        results = (await world.read()).results
+        assert {r.versions for r in results} == {(5,)}
+        assert {r.text for r in results} == {"t1\nt2\nt3"}
+        assert len(results) == 4
+
+    _play(answer, story)
+
+
 def test_a_single_version_text_starts_anew_when_weights_change():
     def answer(name, call):
         if len([c for c in seen if c == call.request_id]) == 0:
