List results as a trainer can go on, and watch nodes through relays

Cause: each step's results were written every 0.3 s, though the trainer goes on only once enough groups are whole; each node watched the list of nodes itself. Change: batch/listing.py decides when to write; an owner asks the store again only before it says that there is nothing more to read. Servers with an open connection go first where they are as good. Ruled out: confirmations at each read; what is listed never changes.

--- a/endivespindle/batch/job.py
+++ b/endivespindle/batch/job.py
@@ -137,6 +137,23 @@
         """Tells whether every item is listed."""
         return len(self._listed) == self.total
 
+    def whole_groups(self) -> tuple[int, int]:
+        """Returns the groups that are whole as listed, and with what is fresh.
+
+        A group that a terminated item belongs to counts as whole, too: all
+        its items are listed.
+        """
+        left: dict[str, int] = {}
+        for item in self.submission.items:
+            left[item.group] = left.get(item.group, 0) + 1
+        groups = {i.item_id: i.group for i in self.submission.items}
+        for result in self._listed:
+            left[groups[result.item_id]] -= 1
+        before = sum(count == 0 for count in left.values())
+        for result in self._fresh:
+            left[groups[result.item_id]] -= 1
+        return before, sum(count == 0 for count in left.values())
+
     def waiting(self) -> list[ItemState]:
         """Returns the items that could be sent to a server."""
         if self.ended:
--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -36,7 +36,13 @@
 )
 from endivespindle.platform.servers import PlatformServers
 from endivespindle.runtime.context import NodeParts
-from endivespindle.runtime.following import follow_config, follow_servers
+from endivespindle.runtime.fleet_view import NODE_KIND
+from endivespindle.runtime.following import (
+    NODES_WAIT_S,
+    follow_config,
+    follow_nodes,
+    follow_servers,
+)
 from endivespindle.runtime.peer_calls import LoadNews, NodeNews, PeerCalls
 from endivespindle.runtime.peer_server import PeerServer
 from endivespindle.runtime.relay import KindFeed, RelayAsk, RelayReply
@@ -170,6 +176,7 @@
             for kind, wait_s in (
                 (CONFIG_KIND, self._config_wait_s()),
                 (SERVER_KIND, _SERVERS_WAIT_S),
+                (NODE_KIND, NODES_WAIT_S),
             )
         }
         peer_server.serve_news(self._take_news)
@@ -221,6 +228,7 @@
                 on_change=lambda: None,
                 feed=self._feeds[SERVER_KIND],
             ),
+            follow_nodes(self._parts, self._store, self._feeds[NODE_KIND]),
         ]
 
     def _config_wait_s(self) -> float:
--- a/endivespindle/runtime/following.py
+++ b/endivespindle/runtime/following.py
@@ -19,11 +19,14 @@
 from endivespindle.serving.in_force import ConfigInForce
 from endivespindle.store.object_store import ObjectStore, StoredObject
 
-__all__ = ["follow_config", "follow_nodes", "follow_servers"]
+__all__ = ["NODES_WAIT_S", "follow_config", "follow_nodes", "follow_servers"]
 
 # Nodes come and go rarely, and a node that is not known is looked up when it
 # is needed.
-_NODES_WAIT_S = 20.0
+NODES_WAIT_S = 20.0
+# Rest of a relay after changes; short against the bounds on configuration and
+# on leaving servers, 2 s, long enough that what belongs together comes at once.
+_SETTLE_S = 0.1
 
 
 def follow_config(
@@ -114,8 +117,16 @@
     )
 
 
-def follow_nodes(parts: NodeParts, store: ObjectStore) -> KindFollower:
-    """Keeps the nodes of the fleet."""
+def follow_nodes(
+    parts: NodeParts, store: ObjectStore, feed: KindFeed | None = None
+) -> KindFollower:
+    """Keeps the nodes of the fleet.
+
+    Args:
+        parts: What every part of the node shares.
+        store: The object API.
+        feed: Passes on what is read, if this node is a relay.
+    """
 
     def take(obj: StoredObject) -> None:
         try:
@@ -129,7 +140,7 @@
             take(obj)
 
     return _follower(
-        parts, store, NODE_KIND, _NODES_WAIT_S, _Handlers(take_list, take), None
+        parts, store, NODE_KIND, NODES_WAIT_S, _Handlers(take_list, take), feed
     )
 
 
@@ -190,6 +201,7 @@
         on_list=handlers.on_list,
         on_change=handlers.on_change,
         on_confirmed=handlers.on_confirmed,
+        settle_s=_SETTLE_S if feed is not None else 0.0,
     )
 
 
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -11,7 +11,11 @@
 from endivespindle.platform.servers import PlatformServers
 from endivespindle.runtime.context import NodeParts
 from endivespindle.runtime.fleet_view import NodeRecord
-from endivespindle.runtime.following import follow_config, follow_servers
+from endivespindle.runtime.following import (
+    follow_config,
+    follow_nodes,
+    follow_servers,
+)
 from endivespindle.runtime.forwarding import Forwarder
 from endivespindle.runtime.ingress import Ingress
 from endivespindle.runtime.job_runner import JobRunner
@@ -19,7 +23,7 @@
 from endivespindle.runtime.job_store import JobStore
 from endivespindle.runtime.peer_calls import LoadNews, NodeNews, PeerCalls
 from endivespindle.runtime.peer_server import PeerServer
-from endivespindle.runtime.relay import RelayedStore
+from endivespindle.runtime.relay import RELAY_WAIT_S, RelayedStore
 from endivespindle.runtime.sessions import open_node_session
 from endivespindle.runtime.settings import Endpoint, NodeRole
 from endivespindle.runtime.streaming import StreamRelay
@@ -40,6 +44,8 @@
 # A watch of servers is kept alive by probes of its connection, so that its
 # wait only bounds how long a lost event of the store goes unnoticed.
 _SERVERS_WAIT_S = 5.0
+# Nodes come and go rarely, and the relay's own silence shows sooner elsewhere.
+_NODES_WAIT_S = 10.0
 # Time between two tellings of counts to the controllers, if there are new
 # ones, and in any case.
 _NEWS_INTERVAL_S = 0.25
@@ -174,15 +180,8 @@
         """Begins to follow the store and to listen."""
         parts = self._parts
         config_wait_s = self._max_unconfirmed_s() * _WATCH_SHARE
-        relayed = RelayedStore(
-            store=self._store,
-            peers=self._peers,
-            fleet=parts.fleet,
-            clock=parts.clock,
-            on_shunned=lambda name, error: parts.log.decided(
-                "relay_shunned", relay=name, error=error
-            ),
-        )
+        relayed = self._relayed()
+        nodes = follow_nodes(parts, self._relayed(max_wait_s=_NODES_WAIT_S))
         config = follow_config(
             parts, relayed, self._config, wait_s=config_wait_s
         )
@@ -196,6 +195,7 @@
         for coro in (
             config.run(),
             servers.run(),
+            nodes.run(),
             self._runner.run(),
             self._tell_controllers(),
         ):
@@ -219,6 +219,19 @@
             web.Server(self._answer_ready, access_log=None), settings.readiness
         )
 
+    def _relayed(self, *, max_wait_s: float = RELAY_WAIT_S) -> RelayedStore:
+        """Returns the store as watched through this data centre's relay."""
+        return RelayedStore(
+            store=self._store,
+            peers=self._peers,
+            fleet=self._parts.fleet,
+            clock=self._parts.clock,
+            on_shunned=lambda name, error: self._parts.log.decided(
+                "relay_shunned", relay=name, error=error
+            ),
+            max_wait_s=max_wait_s,
+        )
+
     async def stop(self) -> None:
         """Drains: nothing new, hand over jobs, finish what was read."""
         self._ingress.closing = True
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from endivespindle.batch.job import ItemPhase, ItemState, JobState
+from endivespindle.batch.listing import listing_delay
 from endivespindle.batch.pace import best_pace, should_move
 from endivespindle.batch.progress import JobProgress
 from endivespindle.batch.schedule import hint_events, place_items
@@ -39,15 +40,12 @@
 
 __all__ = ["JobRunner", "OwnedJob"]
 
-# Longest time a finished item waits to be listed: each write of results is a
-# call that is paid for, and trainers read about twice a second.
-_FLUSH_INTERVAL_S = 0.3
 # Pause after a write of results failed.
 _FLUSH_RETRY_S = 0.3
 # Age of the last answer of the store beyond which the owner asks it again
-# before it speaks for a job: half of the time after which all nodes must show
-# what one has shown.
-_CONFIRM_S = 0.5
+# before it starts an item: half of the time in which an ended job's items may
+# still start.
+_ITEM_CONFIRM_S = 1.5
 # While items wait, places are looked for at least this often, as loads told
 # by answers lose their weight with time.
 _LOOK_INTERVAL_S = 0.1
@@ -235,18 +233,24 @@
                 await asyncio.wait_for(self._wake.wait(), timeout_s)
             self._wake.clear()
 
-    async def confirm(self, job: OwnedJob) -> bool:
+    async def confirm(
+        self, job: OwnedJob, *, max_age_s: float = _ITEM_CONFIRM_S
+    ) -> bool:
         """Makes sure that this node still owns a job.
 
+        Args:
+            job: The job.
+            max_age_s: Age of the store's last answer that is still enough.
+
         Returns:
             Whether the store confirmed it a moment ago.
         """
         if job.state.is_complete and not job.lost:
             return True
-        if self._age_s(job) <= _CONFIRM_S:
+        if self._age_s(job) <= max_age_s:
             return not job.lost
         async with job.lock:
-            if self._age_s(job) <= _CONFIRM_S:
+            if self._age_s(job) <= max_age_s:
                 return not job.lost
             asked_s = self._clock.monotonic()
             try:
@@ -536,11 +540,18 @@
         job.fresh.set()
 
     async def _flush_results(self, job: OwnedJob) -> None:
-        """Lists what is finished, a few results with each write."""
+        """Lists what is finished, several results with each write."""
         while job.is_open:
             await job.fresh.wait()
-            if not self._all_finished(job):
-                await asyncio.sleep(_FLUSH_INTERVAL_S)
+            begun_s = self._clock.monotonic()
+            while job.is_open:
+                delay_s = listing_delay(job.state, now_ms=_now_ms(self._clock))
+                left_s = begun_s + delay_s - self._clock.monotonic()
+                if left_s <= 0:
+                    break
+                job.fresh.clear()
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(job.fresh.wait(), left_s)
             job.fresh.clear()
             if not job.is_open:
                 return
@@ -554,10 +565,6 @@
                 job.fresh.set()
                 await asyncio.sleep(_FLUSH_RETRY_S)
 
-    def _all_finished(self, job: OwnedJob) -> bool:
-        listed = len(job.state.listed) + len(job.state.fresh)
-        return listed == job.state.total
-
     async def _save(
         self, job: OwnedJob, *, ended: bool = False, owner: str | None = None
     ) -> None:
--- a/endivespindle/runtime/job_service.py
+++ b/endivespindle/runtime/job_service.py
@@ -43,6 +43,10 @@
 _CREATION_PAUSE_S = 0.25
 # Retry-After while the store or the owner of a job cannot be reached.
 _RETRY_AFTER_S = 0.5
+# Age of the store's last answer up to which the owner says that there is
+# nothing more to read: under the time after which all nodes must show what one
+# has shown.
+_READ_CONFIRM_S = 0.8
 # Jobs of other nodes whose owner is remembered.
 _MAX_KNOWN = 4096
 # Time for which no new job is given to a node that did not take one.
@@ -164,17 +168,19 @@
         job = self._runner.jobs.get(ask.job_id)
         if job is None or job.lost:
             return JobReply(state=ReadState.NOT_OWNER)
-        if not await self._runner.confirm(job):
-            return JobReply(
-                state=ReadState.NOT_OWNER if job.lost else ReadState.UNSURE
-            )
         if ask.end:
             return await self._end(job)
         if ask.item_id:
             return self._reply(job, body=job.state.body(ask.item_id))
         await self._wait_for_result(job, ask)
-        if job.lost or not await self._runner.confirm(job):
-            return JobReply(state=ReadState.UNSURE)
+        # What is listed stays true; that there is no more must be confirmed.
+        more = len(job.state.listed) > ask.after
+        if not more and not await self._runner.confirm(
+            job, max_age_s=_READ_CONFIRM_S
+        ):
+            return JobReply(
+                state=ReadState.NOT_OWNER if job.lost else ReadState.UNSURE
+            )
         results = page(job.state.listed, after=ask.after, max_bytes=_PAGE_BYTES)
         reply = self._reply(job)
         reply.results = list(results)
--- a/endivespindle/runtime/node.py
+++ b/endivespindle/runtime/node.py
@@ -16,7 +16,6 @@
 from endivespindle.runtime.clock import BootClock
 from endivespindle.runtime.context import NodeParts
 from endivespindle.runtime.controller import Controller
-from endivespindle.runtime.following import follow_nodes
 from endivespindle.runtime.gateway import Gateway
 from endivespindle.runtime.peer_calls import PeerCalls
 from endivespindle.runtime.peer_server import PeerServer
@@ -115,7 +114,6 @@
             await self._gateway.start()
         if self._controller is not None:
             self._spawn(self._controller.run())
-        self._spawn(follow_nodes(self._parts, self._store).run())
         self._spawn(self._register())
 
     async def stop(self) -> None:
--- a/endivespindle/runtime/relay.py
+++ b/endivespindle/runtime/relay.py
@@ -26,14 +26,14 @@
     WatchEvents,
 )
 
-__all__ = ["KindFeed", "RelayAsk", "RelayReply", "RelayedStore"]
+__all__ = ["RELAY_WAIT_S", "KindFeed", "RelayAsk", "RelayReply", "RelayedStore"]
 
 # Changes kept for watchers that are behind; one that is further behind lists
 # anew.
 _HISTORY = 512
 # Longest wait of a watch at a relay. Short, so that a relay that has gone
 # silent is noticed within the bounds on keys and on leaving servers.
-_WAIT_S = 1.0
+RELAY_WAIT_S = 1.0
 # Time beyond the wait after which the relay counts as silent.
 _SLACK_S = 0.3
 # Time for which the store is watched directly after a relay failed.
@@ -165,11 +165,13 @@
         fleet: Nodes known.
         clock: Clock of this VM.
         on_shunned: Called when a relay does not answer.
+        max_wait_s: Longest wait of a watch at a relay.
     """
 
     __slots__ = (
         "_clock",
         "_fleet",
+        "_max_wait_s",
         "_on_shunned",
         "_peers",
         "_shunned",
@@ -184,12 +186,14 @@
         fleet: FleetView,
         clock: Clock,
         on_shunned: Callable[[str, str], None],
+        max_wait_s: float = RELAY_WAIT_S,
     ):
         self._store = store
         self._peers = peers
         self._fleet = fleet
         self._clock = clock
         self._on_shunned = on_shunned
+        self._max_wait_s = max_wait_s
         self._shunned: dict[str, float] = {}
 
     async def get(self, *, kind: str, name: str) -> StoredObject | None:
@@ -222,7 +226,9 @@
         """Waits for changes of a kind after a version."""
         relay = self._relay()
         if relay is not None:
-            ask = RelayAsk(kind=kind, after=after, wait_s=min(wait_s, _WAIT_S))
+            ask = RelayAsk(
+                kind=kind, after=after, wait_s=min(wait_s, self._max_wait_s)
+            )
             try:
                 return await self._ask(relay, ask)
             except PeerError as exc:
--- a/endivespindle/runtime/watching.py
+++ b/endivespindle/runtime/watching.py
@@ -33,6 +33,7 @@
             value.
         on_confirmed: Called after each answer with the version reached and
             the time as of which it is known to be the newest.
+        settle_s: Seconds to rest after changes before the next call.
     """
 
     __slots__ = (
@@ -44,6 +45,7 @@
         "_on_list",
         "_reached",
         "_rng",
+        "_settle_s",
         "_store",
         "_version",
         "_wait_s",
@@ -61,6 +63,7 @@
         on_list: Callable[[list[StoredObject]], None],
         on_change: Callable[[StoredObject], None],
         on_confirmed: Callable[[int, float], None] | None = None,
+        settle_s: float = 0.0,
     ):
         self._store = store
         self._kind = kind
@@ -71,6 +74,7 @@
         self._on_list = on_list
         self._on_change = on_change
         self._on_confirmed = on_confirmed
+        self._settle_s = settle_s
         self._version: int | None = None
         self._reached = False
 
@@ -115,6 +119,9 @@
             return await self._step()
         for obj in events.objects:
             self._on_change(obj)
+        if events.objects and self._settle_s:
+            # What changes within a moment comes with one answer.
+            await asyncio.sleep(self._settle_s)
         # A relay may be behind what was read from the store itself.
         self._version = max(self._version, events.version)
         return events.lag_s
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -19,6 +19,8 @@
 _SMOOTHING = 0.2
 # The same for the pace of events, of which there are many a second.
 _PACE_SMOOTHING = 0.05
+# Time after which an idle connection is likely to have been closed.
+_WARM_S = 4.0
 # Age at which another VMs' share of a reported load counts half: reports come
 # with answers, and an answer holds a slot for about this long.
 _LOAD_HALF_LIFE_S = 1.0
@@ -81,6 +83,7 @@
         "_others_seen_s",
         "_paused_until_s",
         "_peers",
+        "_used_s",
         "duration_s",
         "entry",
         "failure_share",
@@ -97,6 +100,7 @@
         self._others_seen_s = -math.inf
         self._paused_until_s = -math.inf
         self._peers: dict[str, int] = {}
+        self._used_s = -math.inf
         self.entry = entry
         self.in_flight = 0
         self.versions = dict(entry.versions)
@@ -118,6 +122,7 @@
     def started(self) -> None:
         """Counts a request sent."""
         self.in_flight += 1
+        self._used_s = self._clock.monotonic()
 
     def ended(self, *, failed: bool, duration_s: float | None = None) -> None:
         """Counts a request ended.
@@ -143,6 +148,10 @@
         until_s = self._clock.monotonic() + seconds
         self._paused_until_s = max(self._paused_until_s, until_s)
 
+    def is_warm(self) -> bool:
+        """Tells whether a connection to it is likely to be open."""
+        return self._clock.monotonic() - self._used_s <= _WARM_S
+
     def is_paused(self) -> bool:
         """Tells whether recent failures speak against this server."""
         return self._clock.monotonic() < self._paused_until_s
--- a/endivespindle/serving/placement.py
+++ b/endivespindle/serving/placement.py
@@ -14,6 +14,11 @@
 _FAILURE_WEIGHT = 20.0
 # Cost of another data centre, as a share of the delay: breaks ties only.
 _REMOTE_SHARE = 0.05
+# Cost of a new connection, as a share of the delay: it takes a place at the
+# server for a moment, and servers accept a bounded number.
+_COLD_SHARE = 0.25
+# Servers with an open connection that are compared beside the drawn ones.
+_WARM_DRAWN = 2
 
 
 def expected_delay(view: ServerView, *, data_centre: str) -> float:
@@ -33,6 +38,8 @@
     delay_s *= 1 + _FAILURE_WEIGHT * view.failure_share
     if view.entry.data_centre != data_centre:
         delay_s *= 1 + _REMOTE_SHARE
+    if not view.is_warm():
+        delay_s *= 1 + _COLD_SHARE
     return delay_s
 
 
@@ -69,6 +76,7 @@
     if not candidates:
         return None
     drawn = rng.sample(candidates, min(2, len(candidates)))
+    drawn += [view for view in candidates if view.is_warm()][:_WARM_DRAWN]
     return min(
         drawn, key=lambda view: expected_delay(view, data_centre=data_centre)
     )
