Order the engines of a service under one lease

Change: node/service_trainers.py runs all trainers of a service under the lease trainers/SERVICE and follows the register. Ruled out: a number that all leases share, which needs an update of two objects at once.

--- a/endivespindle/node/entry_vm.py
+++ b/endivespindle/node/entry_vm.py
@@ -27,6 +27,7 @@
 from endivespindle.node.payloads import open_payloads
 from endivespindle.node.peer_sync import PeerSync
 from endivespindle.node.roles import RoleRunner, ShardRole
+from endivespindle.node.service_trainers import ServiceTrainers, TrainerRun
 from endivespindle.node.stories import StoryFinder
 from endivespindle.node.trainer_role import TrainerRole
 from endivespindle.node.usage_role import UsageFlush, UsageRole
@@ -246,11 +247,8 @@
         roles = [
             ShardRole(shard="usage", run=usage.run, max_send_s=_SEND_TIMEOUT_S)
         ]
-        rules = view.register.rules
-        roles += [
-            self._trainer_role(trainer, rules)
-            for trainer in view.trainers.values()
-        ]
+        services = {trainer.service for trainer in view.trainers.values()}
+        roles += [self._trainers_role(service) for service in sorted(services)]
         for centre in view.register.data_centres:
             capacity = CapacityRole(
                 ctx=self.ctx,
@@ -268,8 +266,19 @@
             )
         return roles
 
-    def _trainer_role(self, trainer: Trainer, rules: Rules) -> ShardRole:
-        """Returns the role that samples for a trainer and swaps weights."""
+    def _trainers_role(self, service: str) -> ShardRole:
+        """Returns the role that serves all trainers of a service."""
+        trainers = ServiceTrainers(
+            ctx=self.ctx, service=service, make=self._trainer_run
+        )
+        return ShardRole(
+            shard=f"trainers/{service}",
+            run=trainers.run,
+            max_send_s=_SEND_TIMEOUT_S,
+        )
+
+    def _trainer_run(self, trainer: Trainer, rules: Rules) -> TrainerRun:
+        """Returns what samples for a trainer and swaps its weights."""
         weights = WeightsRole(
             ctx=self.ctx,
             store=self._store,
@@ -294,8 +303,4 @@
                 group.create_task(work.run(keeper))
                 group.create_task(weights.run(keeper))
 
-        return ShardRole(
-            shard=f"trainer/{trainer.name}",
-            run=run,
-            max_send_s=_SEND_TIMEOUT_S,
-        )
+        return run
--- /dev/null
+++ b/endivespindle/node/service_trainers.py
@@ -0,0 +1,75 @@
+"""Runs all trainers of one service under one lease."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from endivespindle.node.context import NodeContext
+from endivespindle.node.lease_keeper import LeaseKeeper
+from endivespindle.peers.tasks import end_tasks
+from endivespindle.schema.generated.register import Rules, Trainer
+
+__all__ = ["ServiceTrainers"]
+
+# As often as roles are compared with the register.
+_LOOK_INTERVAL_S = 0.5
+
+TrainerRun = Callable[[LeaseKeeper], Awaitable[None]]
+
+
+class ServiceTrainers:
+    """Keeps one task for each trainer of a service.
+
+    Orders of all of them bear the epoch of one lease, so that no engine sees
+    fencing numbers of two leases cross.
+
+    Args:
+        ctx: Shared state of the VM.
+        service: Service whose engines the trainers share.
+        make: Returns what runs for one trainer.
+    """
+
+    __slots__ = ("_ctx", "_make", "_service")
+
+    def __init__(
+        self,
+        *,
+        ctx: NodeContext,
+        service: str,
+        make: Callable[[Trainer, Rules], TrainerRun],
+    ):
+        self._ctx = ctx
+        self._service = service
+        self._make = make
+
+    async def run(self, keeper: LeaseKeeper) -> None:
+        """Follows the register until cancelled or until a trainer fails."""
+        tasks: dict[str, asyncio.Task[None]] = {}
+        try:
+            while True:
+                self._adjust(tasks, keeper)
+                for task in tasks.values():
+                    if task.done():
+                        task.result()
+                await asyncio.sleep(_LOOK_INTERVAL_S)
+        finally:
+            await end_tasks(tasks.values())
+
+    def _adjust(
+        self, tasks: dict[str, asyncio.Task[None]], keeper: LeaseKeeper
+    ) -> None:
+        view = self._ctx.view()
+        wanted = {
+            name: trainer
+            for name, trainer in view.trainers.items()
+            if trainer.service == self._service
+        }
+        for name in set(tasks) - set(wanted):
+            tasks.pop(name).cancel()
+        for name, trainer in wanted.items():
+            if name not in tasks:
+                run = self._make(trainer, view.register.rules)
+                tasks[name] = asyncio.ensure_future(_run(run, keeper))
+
+
+async def _run(run: TrainerRun, keeper: LeaseKeeper) -> None:
+    await run(keeper)
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -16,7 +16,7 @@
     )
     await session.store.put(
         kind=LEASE_KIND,
-        name="trainer/writer",
+        name="trainers/notes",
         value=msgspec.json.encode(released),
         expect_version=0,
     )
--- a/tools/measure_pause.py
+++ b/tools/measure_pause.py
@@ -81,10 +81,10 @@
 
 async def _lose_holder(deployment: Deployment) -> None:
     """Takes the holder's network away, then the VM itself."""
-    found = await deployment.platform.store.get(
-        kind="lease", name=f"trainer/{_TRAINER}"
+    leases = await deployment.platform.store.list_objects(
+        kind="lease", prefix="trainers/"
     )
-    assert found is not None
+    found = leases.objects[0]
     assert found.value is not None
     holder = json.loads(found.value)["holder"].partition("/")[0]
     for vm in list(deployment.vms):
