Ask the store before running a job that another node handed over

Cause: the message that hands a new job to its owner may be held up by a cut for seconds. Change: an assigned job counts as never confirmed, so that the first item asks the store. endivespindle explain reads log files (runtime/log_story.py). Ruled out: an end that was acknowledged and not stored; the end was read back from the store after the fault.

--- a/endivespindle/cli/vm.py
+++ b/endivespindle/cli/vm.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import pathlib
+import sys
 from typing import Any
 
 import aiohttp
 
 from endivespindle.cli.files import load_settings
 from endivespindle.cli.output import ExitCode, print_json
+from endivespindle.runtime.log_story import read_log, story_of
 
 __all__ = ["explain", "status"]
 
@@ -41,18 +43,26 @@
     story: str,
     /,
     *,
-    settings: pathlib.Path,
+    settings: pathlib.Path | None = None,
     vm: str | None = None,
+    logs: list[pathlib.Path] | None = None,
     json: bool = False,
 ) -> int:
     """Tells the decisions taken for one request or sample, on any VM.
 
     Args:
-        story: Request id, or `trainer.step.group.index` of a sample.
+        story: Request id, job or item id, or `trainer.step.group.index` of a
+            sample.
         settings: TOML file of the VM, for its address and operator token.
         vm: Base address of another VM.
+        logs: Files with the logs of nodes; read in place of asking a VM.
         json: Print as JSON.
     """
+    if logs:
+        return _explain_logs(story, logs, json=json)
+    if settings is None:
+        print("endivespindle: --settings or --logs is needed", file=sys.stderr)
+        return ExitCode.USAGE
     answer = _ask(settings, vm, f"/operator/v1/explain/{story}")
     events = answer["events"]
     if json:
@@ -69,6 +79,21 @@
     return ExitCode.OK if events else ExitCode.FOUND
 
 
+def _explain_logs(story: str, logs: list[pathlib.Path], *, json: bool) -> int:
+    lines = []
+    for path in logs:
+        with path.open(encoding="utf-8", errors="replace") as file:
+            lines += read_log(file)
+    found = story_of(lines, story)
+    if json:
+        print_json(found)
+        return ExitCode.OK if found else ExitCode.FOUND
+    for line in found:
+        inputs = (f"{name}={value}" for name, value in line.fields.items())
+        print(line.at.isoformat(), line.vm, line.event, *inputs)
+    return ExitCode.OK if found else ExitCode.FOUND
+
+
 def _ask(settings: pathlib.Path, vm: str | None, path: str) -> Any:
     cfg = load_settings(settings)
     scheme = "https" if cfg.listen.tls_certificate else "http"
--- a/endivespindle/runtime/job_service.py
+++ b/endivespindle/runtime/job_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Coroutine
 from typing import Any
 
@@ -140,9 +141,8 @@
         if self.draining or submission.first_owner != self._runner.owner_id:
             return False
         if submission.job_id not in self._runner.jobs:
-            self._runner.add(
-                _new_job(submission), asked_s=self._clock.monotonic()
-            )
+            # The message may be seconds old: the store is asked first.
+            self._runner.add(_new_job(submission), asked_s=-math.inf)
         return True
 
     async def ask(self, ask: JobAsk) -> JobReply:
--- /dev/null
+++ b/endivespindle/runtime/tests/test_log_story.py
@@ -0,0 +1,50 @@
+"""The story of a request, from the logs of several nodes."""
+
+import json
+
+from endivespindle.runtime.log_story import read_log, story_of
+
+
+def _line(second, vm, event, **fields):
+    doc = {"timestamp": f"2026-01-01T00:00:{second:02d}Z", "vm": vm}
+    return json.dumps(doc | {"event": event} | fields)
+
+
+LOGS = [
+    _line(1, "g1", "job_submitted", request_id="j1", owner="g2"),
+    _line(2, "g2", "item_attempt", request_id="i1", job_id="j1", server="e1"),
+    _line(2, "g2", "item_attempt", request_id="i2", job_id="j1", server="e2"),
+    "  3.0 g2 " + _line(3, "c1", "server_gone", server="e1"),
+    _line(3, "c1", "server_gone", server="e9"),
+    _line(4, "g3", "job_taken_over", job_id="j1", owner_before="g2/a"),
+    _line(5, "g2", "store_lost", kind="config"),
+    _line(6, "g3", "item_terminated", request_id="i1", job_id="j1"),
+    _line(7, "g3", "request", request_id="other"),
+    "Traceback (most recent call last):",
+    "{broken",
+]
+
+
+def test_an_item_s_story_crosses_nodes():
+    events = [line.event for line in story_of(read_log(LOGS), "i1")]
+    assert events == [
+        "item_attempt",
+        "server_gone",
+        "job_taken_over",
+        "store_lost",
+        "item_terminated",
+    ]
+
+
+def test_a_job_s_story_holds_its_items():
+    events = [line.event for line in story_of(read_log(LOGS), "j1")]
+    assert events[0] == "job_submitted"
+    assert events.count("item_attempt") == 2
+
+
+def test_an_unknown_id_has_no_story():
+    assert story_of(read_log(LOGS), "nobody") == []
+
+
+def test_lines_that_are_no_log_are_left_out():
+    assert len(read_log(LOGS)) == len(LOGS) - 2
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from endivespindle.batch.progress import ItemOutcome
+from endivespindle.batch.progress import ItemOutcome, JobProgress
 from endivespindle.batch.tests.jobs import item, submission
 from endivespindle.exceptions import PeerError, RefusedError
 from endivespindle.runtime.forwarding import Forwarder
@@ -349,6 +349,27 @@
     _play(answer, story)
 
 
+def test_an_assignment_that_arrives_after_the_end_starts_nothing():
+    """The message was held up by a cut while the job was run elsewhere."""
+
+    async def story(world):
+        job = submission([item("i1")], submitted_ms=world.now_ms())
+        target = world.nodes[1]
+        job = msgspec.structs.replace(
+            job, first_owner=target.parts.fleet.me.owner_id
+        )
+        await target.runner._store.create(job)
+        ended = JobProgress(
+            owner=world.nodes[0].parts.fleet.me.owner_id, ended=True
+        )
+        await target.runner._store.save("job-1", ended, version=0)
+        assert target.service.take_assignment(job)
+        await asyncio.sleep(1.0)
+        assert world.servers.sent == []
+
+    _play(_whole, story)
+
+
 def test_an_end_is_acknowledged_again_and_again():
     async def story(world):
         await world.submit([item("i1")])
