Let servers follow demand, carry texts over, and score only for open jobs

Change: controller/capacity_plan.py orders servers for the peak of places wanted; batch/carry.py keeps the texts of unfinished groups; a model gets as many homes as its jobs fill; a reward call is confirmed like an item.

--- a/endivespindle/batch/job.py
+++ b/endivespindle/batch/job.py
@@ -33,10 +33,12 @@
         failures: Answers of 500 so far.
         reward_failures: Answers of 500 to its reward call so far.
         not_before_s: Monotonic time before which it is not tried again.
+        is_whole: Whether the text is whole, so that only its score is left.
     """
 
     __slots__ = (
         "failures",
+        "is_whole",
         "item",
         "not_before_s",
         "phase",
@@ -55,6 +57,14 @@
         self.failures = 0
         self.reward_failures = 0
         self.not_before_s = 0.0
+        self.is_whole = False
+
+    def go_on_from(self, text: "ItemState") -> None:
+        """Takes over the text that the item had in an earlier job."""
+        self.pieces = list(text.pieces)
+        self.versions = list(text.versions)
+        self.is_whole = text.is_whole
+        self.server = text.server
 
     def take(self, event: StreamEvent, version: int) -> bool:
         """Takes in an event; tells whether it is the one that follows."""
@@ -69,6 +79,7 @@
         """Starts the text anew."""
         self.pieces.clear()
         self.versions.clear()
+        self.is_whole = False
 
 
 class JobState:
@@ -90,6 +101,7 @@
     """
 
     __slots__ = (
+        "_finished",
         "_fresh",
         "_listed",
         "ended",
@@ -110,6 +122,7 @@
         self.tokens_per_event = 1
         self._listed = list(results)
         self._fresh: list[ItemResult] = []
+        self._finished: dict[str, ItemState] = {}
         done = {result.item_id for result in results}
         self.items = {
             item.item_id: ItemState(item=item)
@@ -154,6 +167,12 @@
             left[groups[result.item_id]] -= 1
         return before, sum(count == 0 for count in left.values())
 
+    def unfinished_groups(self) -> list[ItemState]:
+        """Returns the items with a text whose groups are not whole."""
+        states = {**self._finished, **self.items}
+        open_groups = {state.item.group for state in self.items.values()}
+        return [s for s in states.values() if s.item.group in open_groups]
+
     def waiting(self) -> list[ItemState]:
         """Returns the items that could be sent to a server."""
         if self.ended:
@@ -196,7 +215,9 @@
     def acknowledged(self, count: int) -> None:
         """Notes that the store holds the first of the fresh results."""
         for result in self._fresh[:count]:
-            self.items.pop(result.item_id, None)
+            state = self.items.pop(result.item_id, None)
+            if state is not None and state.is_whole:
+                self._finished[result.item_id] = state
         self._listed += self._fresh[:count]
         del self._fresh[:count]
 
--- a/endivespindle/batch/schedule.py
+++ b/endivespindle/batch/schedule.py
@@ -101,7 +101,7 @@
         usable = [v for v in views if _may_generate(v, job)]
         best_s = best_pace(views)
         for state in order_items(job):
-            if state.not_before_s > now_s:
+            if state.not_before_s > now_s or state.is_whole:
                 continue
             home = homes.get((job.submission.job_id, state.item.group))
             view = _soonest_done(
--- /dev/null
+++ b/endivespindle/controller/tests/test_capacity_plan.py
@@ -0,0 +1,93 @@
+"""Servers follow the places that steps want at once."""
+
+from endivespindle.controller.capacity_plan import DemandBook, plan_capacity
+from endivespindle.core.clock import ManualClock
+from endivespindle.serving.configuration import ScalingSpec, ServiceSpec
+from endivespindle.serving.directory import ServerDirectory
+from endivespindle.serving.tests.configs import server
+
+CENTRES = ("a", "b", "c")
+SPEC = ServiceSpec(
+    name="engine",
+    health_path="/h",
+    max_connections=9,
+    scaling=ScalingSpec(
+        servers_min=1,
+        servers_max=4,
+        boot_s=4.0,
+        spot_price=0.2,
+        prices={"a": 1.0, "b": 0.8, "c": 1.25},
+    ),
+)
+
+
+def _servers(*data_centres):
+    directory = ServerDirectory(clock=ManualClock())
+    for number, name in enumerate(data_centres):
+        directory.put(
+            server(f"e{number}", service="engine", slots=12, data_centre=name)
+        )
+    return directory.open_servers("engine")
+
+
+def _plan(peak, *data_centres, ordered=None, may_shrink=True):
+    orders = plan_capacity(
+        SPEC,
+        _servers(*data_centres),
+        CENTRES,
+        peak=peak,
+        ordered=ordered or {},
+        may_shrink=may_shrink,
+    )
+    return {order.data_centre: order.servers for order in orders}
+
+
+def test_three_steps_at_once_get_places():
+    """120 items on six servers of 12 places: four more are needed."""
+    orders = _plan(120, "a", "a", "b", "b", "c", "c")
+    assert sum(orders.values()) + 6 - 2 * len(orders) == 10
+    assert orders["b"] == 4 or orders["b"] == 3
+
+
+def test_servers_spread_over_the_data_centres():
+    assert _plan(12 * 12, "a", "a", "b", "b", "c", "c") == {
+        "a": 4,
+        "b": 4,
+        "c": 4,
+    }
+
+
+def test_no_more_than_the_bound_is_ordered():
+    orders = _plan(10_000, "a", "b", "c")
+    assert set(orders.values()) == {4}
+
+
+def test_enough_servers_are_left_alone():
+    assert _plan(24, "a", "b") == {}
+
+
+def test_what_is_no_longer_wanted_is_given_back_down_to_the_least():
+    ordered = {"a": 4, "b": 4, "c": 4}
+    orders = _plan(0, "a", "b", "c", ordered=ordered)
+    assert set(orders.values()) == {1}
+
+
+def test_nothing_is_given_back_before_demand_is_known():
+    assert _plan(0, "a", "a", "b", "c", may_shrink=False) == {}
+
+
+def test_an_order_under_way_is_not_repeated():
+    ordered = {"a": 2, "b": 2, "c": 2}
+    assert _plan(72, "a", "b", ordered=ordered) == {}
+
+
+def test_the_peak_of_all_nodes_together_counts_for_a_while():
+    clock = ManualClock()
+    book = DemandBook(clock=clock)
+    book.take("n1", {"engine": 40})
+    book.take("n2", {"engine": 80})
+    book.take("n1", {})
+    assert book.peak("engine") == 120
+    clock.advance(31.0)
+    book.take("n2", {"engine": 7})
+    assert book.peak("engine") == 7
--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -8,7 +8,11 @@
 import msgspec
 
 from endivespindle.backends.sessions import open_single_use_session
-from endivespindle.controller.capacity_plan import plan_capacity
+from endivespindle.controller.capacity_plan import (
+    SHRINK_AFTER_S,
+    DemandBook,
+    plan_capacity,
+)
 from endivespindle.controller.duties import (
     CapacityRequest,
     DutyAnswer,
@@ -105,11 +109,13 @@
         "_book",
         "_capacity",
         "_config",
+        "_demand",
         "_directory",
         "_feeds",
         "_held",
         "_lease",
         "_loading",
+        "_model_demand",
         "_named",
         "_operations",
         "_parts",
@@ -167,7 +173,9 @@
         self._version_named = asyncio.Event()
         self._peers = peers
         self._retired: set[str] = set()
-        self._capacity: dict[tuple[str, str, bool], int] = {}
+        self._capacity: dict[str, dict[str, int]] = {}
+        self._demand = DemandBook(clock=parts.clock)
+        self._model_demand = DemandBook(clock=parts.clock)
         self._task: asyncio.Task[None] | None = None
         self._feeds = {
             kind: KindFeed(
@@ -244,6 +252,8 @@
     def _take_news(self, news: NodeNews) -> None:
         self._book.take(news.counts)
         self._required[news.counts.node] = news.required
+        self._demand.take(news.counts.node, news.wanted)
+        self._model_demand.take(news.counts.node, news.wanted_models)
 
     async def _act(self) -> None:
         """Follows what the duties need, and carries them out."""
@@ -251,6 +261,7 @@
         self._loading.clear()
         self._accepted.clear()
         self._resting.clear()
+        self._capacity.clear()
         self._book.begin(parts.clock.now().timestamp())
         follows = [
             self._follow(VERSION_KIND, self._take_version),
@@ -352,6 +363,7 @@
                     required=self._required_versions(),
                     loading=loading,
                     ordered=ordered,
+                    places={m: self._model_demand.peak(m) for m in named},
                 )
                 await asyncio.gather(*(self._load(order) for order in orders))
 
@@ -523,6 +535,8 @@
 
     async def _order_capacity(self) -> None:
         """Orders backend servers where the platform lets them be ordered."""
+        clock = self._parts.clock
+        begun_s = clock.monotonic()
         while self._operations is not None:
             await asyncio.sleep(_CAPACITY_INTERVAL_S)
             config = self._config.config
@@ -535,14 +549,14 @@
                     spec,
                     self._directory.open_servers(spec.name),
                     self._parts.settings.data_centres,
+                    peak=self._demand.peak(spec.name),
+                    ordered=self._capacity.get(spec.name, {}),
+                    may_shrink=clock.monotonic() - begun_s >= SHRINK_AFTER_S,
                 )
                 for request in wanted:
                     await self._order(request)
 
     async def _order(self, request: CapacityRequest) -> None:
-        key = (request.service, request.data_centre, request.spot)
-        if self._capacity.get(key) == request.servers:
-            return
         if self._operations is None or not self._lease.may_send(
             timeout_s=_ACT_TIMEOUT_S
         ):
@@ -569,4 +583,5 @@
             outcome=answer.value,
         )
         if answer is DutyAnswer.TAKEN:
-            self._capacity[key] = request.servers
+            ordered = self._capacity.setdefault(request.service, {})
+            ordered[request.data_centre] = request.servers
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -283,6 +283,7 @@
                 told is not None
                 and told.counts.windows == news.counts.windows
                 and told.required == news.required
+                and told.wanted == news.wanted
             )
             if same and now_s - told_s < _NEWS_REST_S:
                 continue
@@ -298,7 +299,13 @@
             if recent and sub.model:
                 known = required.get(sub.model, 0)
                 required[sub.model] = max(known, sub.min_version)
-        return NodeNews(counts=self._usage.news(), required=required)
+        services, models = self._runner.wanted()
+        return NodeNews(
+            counts=self._usage.news(),
+            required=required,
+            wanted=services,
+            wanted_models=models,
+        )
 
     async def _tell_now(self) -> None:
         news = self._news()
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -4,10 +4,12 @@
 import contextlib
 import math
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
+from typing import Any
 
 import msgspec
 
+from endivespindle.batch.carry import CarriedTexts
 from endivespindle.batch.job import ItemPhase, ItemState, JobState
 from endivespindle.batch.listing import listing_delay
 from endivespindle.batch.pace import best_pace, should_move
@@ -167,6 +169,7 @@
 
     __slots__ = (
         "_api",
+        "_carried",
         "_clock",
         "_config",
         "_data_centre",
@@ -207,6 +210,7 @@
         self._log = log
         self._metrics = metrics
         self._wake = asyncio.Event()
+        self._carried = CarriedTexts(clock=clock)
         self.owner_id = owner_id
         self.jobs: dict[str, OwnedJob] = {}
 
@@ -218,6 +222,9 @@
         """Begins to run a job that this node owns."""
         job = OwnedJob(stored=stored, confirmed_s=asked_s)
         self._set_engine(job)
+        carried = self._carried.fill(job.state)
+        if carried:
+            self._log.decided("texts_carried", job_id=job.job_id, texts=carried)
         self.jobs[job.job_id] = job
         if job.is_open:
             asyncio.create_task(self._flush_results(job))
@@ -233,6 +240,22 @@
                 await asyncio.wait_for(self._wake.wait(), timeout_s)
             self._wake.clear()
 
+    def wanted(self) -> tuple[dict[str, int], dict[str, int]]:
+        """Returns the places that open jobs want, by service and by model."""
+        services: dict[str, int] = {}
+        models: dict[str, int] = {}
+        for job in self.jobs.values():
+            if not job.is_open:
+                continue
+            sub = job.state.submission
+            places = sum(
+                state.phase in (ItemPhase.WAITING, ItemPhase.GENERATING)
+                for state in job.state.items.values()
+            )
+            services[sub.service] = services.get(sub.service, 0) + places
+            models[sub.model] = models.get(sub.model, 0) + places
+        return services, models
+
     async def confirm(
         self, job: OwnedJob, *, max_age_s: float = _ITEM_CONFIRM_S
     ) -> bool:
@@ -299,16 +322,22 @@
         open_jobs = [job for job in self.jobs.values() if job.is_open]
         by_id = {job.job_id: job for job in open_jobs}
         now_ms = _now_ms(self._clock)
+        now_s = self._clock.monotonic()
         for job in open_jobs:
             for state in job.state.waiting():
                 if job.state.is_over(state, now_ms=now_ms):
                     self._give_up(job, state, "max_wait")
+        for job in open_jobs:
+            for state in job.state.waiting():
+                if state.is_whole and state.not_before_s <= now_s:
+                    state.phase = ItemPhase.SCORING
+                    self._start(job, self._score_again(job, state))
         services = {job.state.submission.service for job in open_jobs}
         placed = place_items(
             [job.state for job in open_jobs],
             {name: self._directory.open_servers(name) for name in services},
             data_centre=self._data_centre,
-            now_s=self._clock.monotonic(),
+            now_s=now_s,
             rng=self._rng,
         )
         for placement in placed:
@@ -316,23 +345,36 @@
             state = placement.state
             state.phase = ItemPhase.GENERATING
             state.server = placement.server.entry.name
-            task = asyncio.create_task(
-                self._run_item(job, state, placement.server)
-            )
-            job.tasks.add(task)
-            task.add_done_callback(job.tasks.discard)
+            self._start(job, self._run_item(job, state, placement.server))
         return any(job.state.waiting() for job in open_jobs)
 
+    def _start(self, job: OwnedJob, coro: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coro)
+        job.tasks.add(task)
+        task.add_done_callback(job.tasks.discard)
+
+    def _runs(self, job: OwnedJob, state: ItemState) -> bool:
+        """Tells whether an item still belongs to an open job of this node."""
+        return job.is_open and job.state.items.get(state.item.item_id) is state
+
+    async def _score_again(self, job: OwnedJob, state: ItemState) -> None:
+        """Lists an item whose text was whole before its job began."""
+        try:
+            await self._score(job, state)
+        finally:
+            if state.phase is ItemPhase.SCORING:
+                state.phase = ItemPhase.WAITING
+            self.wake()
+
     async def _run_item(
         self, job: OwnedJob, state: ItemState, view: ServerView
     ) -> None:
         """Generates an item's text, or a part of it, then its score."""
-        item_id = state.item.item_id
         try:
             if not await self.confirm(job):
                 state.not_before_s = self._clock.monotonic() + _FAILED_PAUSE_S
                 return
-            if not job.is_open or job.state.items.get(item_id) is not state:
+            if not self._runs(job, state):
                 # The store told that the job was ended or has moved on.
                 return
             await self._generate(job, state, view)
@@ -382,6 +424,7 @@
             outcome=outcome,
         )
         if outcome == "whole":
+            state.is_whole = True
             state.phase = ItemPhase.SCORING
         else:
             rest_s = self._clock.monotonic() + _FAILED_PAUSE_S
@@ -496,6 +539,10 @@
         score = ""
         reward = state.item.score
         while reward is not None and not score:
+            if not await self.confirm(job) or not self._runs(job, state):
+                # The text stays; another look follows once the store answers.
+                state.not_before_s = self._clock.monotonic() + _REWARD_PAUSE_S
+                return
             route = self._config.route(host=reward.host, path=reward.path)
             if route is None:
                 self._give_up(job, state, "reward_route_gone")
@@ -595,6 +642,7 @@
         job.state.acknowledged(len(fresh))
         job.state.ended = job.progress.ended
         if job.state.ended:
+            self._carried.keep(job.state)
             job.cancel_items()
         job.notify()
         self._log.decided(
--- a/endivespindle/weights/tests/test_load_plan.py
+++ b/endivespindle/weights/tests/test_load_plan.py
@@ -83,3 +83,11 @@
 def test_nothing_is_loaded_before_a_version_is_named():
     servers = _engines(3, {"m0": 1})
     assert plan_loads(servers, named={}, required={}, loading={}) == []
+
+
+def test_a_model_gets_no_more_homes_than_its_jobs_fill():
+    """Twelve servers of 4 places; a step wants 10 places at once."""
+    servers = _engines(12, dict.fromkeys(MODELS, 1))
+    named = dict.fromkeys(MODELS, 2)
+    homes = assign_homes(servers, named, places=dict.fromkeys(MODELS, 10))
+    assert {len(views) for views in homes.values()} == {3}
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -349,6 +349,26 @@
     _play(answer, story)
 
 
+def test_no_reward_call_follows_the_end_of_its_job():
+    """A replaced owner runs a long text on and learns of the end only then."""
+
+    async def story(world):
+        await world.submit([item("i1", score=True)])
+        owner = world.owner()
+        job = owner.runner.jobs["job-1"]
+        ended = msgspec.structs.replace(job.progress, owner="n9/x", ended=True)
+        await owner.runner._store.save("job-1", ended, version=job.version)
+        await asyncio.sleep(8.0)
+        assert len(world.sent("i1")) == 1
+        assert world.sent("score-i1") == []
+
+    def answer(name, call):
+        del name, call
+        return ScriptedAnswer(events=[1, 2], pause_s=1.5)
+
+    _play(answer, story)
+
+
 def test_an_assignment_that_arrives_after_the_end_starts_nothing():
     """The message was held up by a cut while the job was run elsewhere."""
 
