Ask the node that took a job over, whoever else asks at the moment

Cause: of several readers that found an owner silent at one node, the first noted the new owner and the second took that note for an owner that it had tried itself: it took the job over in turn. Change: each call remembers what it tried; an owner that fell silent is not asked again for a second. Ruled out: owners that lost the job; each of them still held it.

--- a/endivespindle/runtime/job_service.py
+++ b/endivespindle/runtime/job_service.py
@@ -48,6 +48,9 @@
 # nothing more to read: under the time after which all nodes must show what one
 # has shown.
 _READ_CONFIRM_S = 0.8
+# Time for which an owner that did not answer is not asked again; readers would
+# wait for it, one after the other.
+_SILENT_S = 1.0
 # Jobs of other nodes whose owner is remembered.
 _MAX_KNOWN = 4096
 # Time for which no new job is given to a node that did not take one.
@@ -76,6 +79,7 @@
         "_runner",
         "_store",
         "_tasks",
+        "_unreached",
         "draining",
     )
 
@@ -97,6 +101,7 @@
         self._log = log
         self._known: dict[str, str] = {}
         self._avoided: dict[str, float] = {}
+        self._unreached: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self.draining = False
 
@@ -156,12 +161,14 @@
             reply = await self.answer(ask)
             if reply.state is ReadState.OK:
                 return reply
+        tried = ""
         owner = self._fleet.owner(self._known.get(ask.job_id, ""))
-        if owner is not None:
+        if owner is not None and self._is_reachable(owner):
+            tried = owner.owner_id
             reply = await self._ask_peer(owner, ask)
             if reply.state is ReadState.OK:
                 return reply
-        return await self._from_store(ask)
+        return await self._from_store(ask, tried)
 
     async def answer(self, ask: JobAsk) -> JobReply:
         """Answers for a job as its owner, if this node is."""
@@ -283,6 +290,7 @@
         try:
             return await self._peers.ask(owner, ask)
         except PeerError as exc:
+            self._unreached[owner.owner_id] = self._clock.monotonic()
             self._log.decided(
                 "job_owner_unreached",
                 job_id=ask.job_id,
@@ -291,8 +299,13 @@
             )
             return JobReply(state=ReadState.NOT_OWNER)
 
-    async def _from_store(self, ask: JobAsk) -> JobReply:
-        """Looks a job up, then asks its owner or becomes it."""
+    async def _from_store(self, ask: JobAsk, tried: str) -> JobReply:
+        """Looks a job up, then asks its owner or becomes it.
+
+        Args:
+            ask: What is asked.
+            tried: Owner that did not answer this very call.
+        """
         asked_s = self._clock.monotonic()
         try:
             stored = await self._store.load(ask.job_id)
@@ -301,12 +314,12 @@
         if stored is None:
             return JobReply(state=ReadState.MISSING)
         owner_id = stored.progress.owner
-        before = self._known.get(ask.job_id)
         self._remember(ask.job_id, owner_id)
         owner = self._fleet.owner(owner_id)
-        if owner is not None and owner_id not in (
-            before,
-            self._runner.owner_id,
+        if (
+            owner is not None
+            and owner_id not in (tried, self._runner.owner_id)
+            and self._is_reachable(owner)
         ):
             reply = await self._ask_peer(owner, ask)
             if reply.state is ReadState.OK:
@@ -318,6 +331,11 @@
             raise _unsure()
         return reply
 
+    def _is_reachable(self, owner: NodeRecord) -> bool:
+        """Tells whether an owner has not just left a call unanswered."""
+        silent_s = self._unreached.get(owner.owner_id, -math.inf)
+        return self._clock.monotonic() - silent_s >= _SILENT_S
+
     async def _adopt(self, job_id: str) -> None:
         asked_s = self._clock.monotonic()
         try:
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -113,13 +113,13 @@
 
 
 class _World:
-    """Two nodes, one store, scripted servers."""
+    """Some nodes, one store, scripted servers."""
 
-    def __init__(self, answer):
+    def __init__(self, answer, names=("n1", "n2")):
         self.store = MemoryObjectStore()
         self.servers = ScriptedServers(answer)
         self.peers = _Peers()
-        self.nodes = [self.add(name) for name in ("n1", "n2")]
+        self.nodes = [self.add(name) for name in names]
         for node in self.nodes:
             for other in self.nodes:
                 me = other.parts.fleet.me
@@ -167,9 +167,9 @@
     return ScriptedAnswer(events=list(range(first, 4)))
 
 
-def _play(answer, story):
+def _play(answer, story, **kwargs):
     async def run():
-        return await story(_World(answer))
+        return await story(_World(answer, **kwargs))
 
     return run_virtual(run())
 
@@ -291,6 +291,26 @@
     return ScriptedAnswer(events=[1, 2, 3], pause_s=0.2)
 
 
+def test_one_node_takes_over_and_the_others_ask_it():
+    """Several readers at each node find the owner silent at once."""
+
+    async def story(world):
+        await world.submit([item(f"i{n}") for n in range(4)])
+        owner = world.owner()
+        world.peers.cut.add(owner.parts.fleet.me.name)
+        others = [n for n in world.nodes if n is not owner]
+        await world.read(others[0])
+        written = len(world.store.log)
+        await asyncio.gather(
+            *(world.read(n) for n in others[1:] for _ in range(4))
+        )
+        owners = [n for n in others if "job-1" in n.runner.jobs]
+        assert owners == [others[0]]
+        assert len(world.store.log) - written <= 2
+
+    _play(_slower, story, names=("n1", "n2", "n3", "n4"))
+
+
 def _slower(name, call):
     del name, call
     return ScriptedAnswer(events=[1, 2, 3], pause_s=0.6)
