--- a/endivespindle/platform/headers.py
+++ b/endivespindle/platform/headers.py
@@ -12,6 +12,7 @@
     "call_headers",
     "caller_hints",
     "end_to_end",
+    "refusal_headers",
     "weight_version",
 ]
 
@@ -26,6 +27,7 @@
 _WEIGHT_VERSION = "X-Weight-Versions"
 _URGENCY = "X-Request-Priority"
 _WAIT_MS = "X-Wait-Ms"
+_RETRY_AFTER = "Retry-After"
 _AUTHORIZATION = "Authorization"
 _KEY_SCHEME = "bearer "
 _MISDIRECTED = 421
@@ -134,6 +136,16 @@
     )
 
 
+def refusal_headers(
+    request_id: str, retry_after_s: float | None
+) -> dict[str, str]:
+    """Returns the headers of an answer of this system's own."""
+    headers = {_REQUEST_ID: request_id} if request_id else {}
+    if retry_after_s is not None:
+        headers[_RETRY_AFTER] = f"{retry_after_s:.2f}"
+    return headers
+
+
 def answers_request(headers: Mapping[str, str], request_id: str) -> bool:
     """Tells whether an answer names the request it was read for."""
     return headers.get(_REQUEST_ID, request_id) == request_id
--- a/endivespindle/runtime/ingress.py
+++ b/endivespindle/runtime/ingress.py
@@ -12,7 +12,7 @@
 from endivespindle.core.clock import Clock
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import MessageError, RefusedError
-from endivespindle.platform.headers import caller_hints
+from endivespindle.platform.headers import caller_hints, refusal_headers
 from endivespindle.platform.jobs import (
     decode_submission,
     encode_page,
@@ -153,7 +153,7 @@
         begun_s: float,
     ) -> web.StreamResponse:
         if not hints.request_id:
-            raise RefusedError(Reason.MALFORMED, "X-Request-Id is missing")
+            raise RefusedError(Reason.MALFORMED, "The request has no id.")
         body = await self._read_body(request)
         handlers: dict[
             RouteKind,
@@ -334,11 +334,9 @@
     status = exc.reason.status
     if status >= 500 or status == 429:
         status = _PROMISE if exc.ran is RunState.NOT_RUN else _UNKNOWN_STATUS
-    headers = {}
-    if hints.request_id:
-        headers["X-Request-Id"] = hints.request_id
-    if status == _PROMISE and exc.retry_after_s is not None:
-        headers["Retry-After"] = f"{exc.retry_after_s:.2f}"
+    retry_after_s = exc.retry_after_s if status == _PROMISE else None
     return web.Response(
-        status=status, text=f"{exc.reason.code}: {exc}\n", headers=headers
+        status=status,
+        text=f"{exc.reason.code}: {exc}\n",
+        headers=refusal_headers(hints.request_id, retry_after_s),
     )
