--- a/Makefile
+++ b/Makefile
@@ -62,3 +62,6 @@
 
 capacity: setup
 	PYTHONPATH=. $(PY) tools/measure_capacity.py --seed $(SEED)
+
+soak-system: setup-dev
+	PYTHONPATH=. $(PY) tools/run_system_soak.py --first $(SEED)
--- a/tests/node_fleet.py
+++ b/tests/node_fleet.py
@@ -139,7 +139,8 @@
         self.platform.write("config", "main", config())
         for server in (*self.plain, *self.engines):
             await server.start()
-            self.platform.write("servers", server.name, server.entry())
+            entry = server.entry() | {"address": await self.address_of(server)}
+            self.platform.write("servers", server.name, entry)
         self.session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=20)
         )
@@ -147,7 +148,8 @@
         for number, (name, machine) in enumerate(
             (("g1", "front"), ("g2", "front"), ("c1", "storage"))
         ):
-            self._write_boot(name, machine, number, base + 20 * number)
+            link = await self.link_to(name)
+            self._write_boot(name, machine, number, base + 20 * number, link)
             await self.start(name)
         for name in ("g1", "g2"):
             await self.wait_ready(name)
@@ -163,7 +165,16 @@
             await server.stop()
         await self.platform.stop()
 
-    def _write_boot(self, name, machine, number, port):
+    async def link_to(self, name):
+        """Returns the port by which a node reaches the platform."""
+        del name
+        return self.platform.port
+
+    async def address_of(self, server):
+        """Returns where nodes reach a server."""
+        return f"127.0.0.1:{server.port}"
+
+    def _write_boot(self, name, machine, number, port, link):
         # Every node has an address of its own, as its metrics port is fixed.
         ip = f"127.0.0.{20 + number}"
         listen = "{}"
@@ -179,7 +190,7 @@
                 listen=listen,
                 peer=port + 2,
                 peer_last=port + 9,
-                platform=self.platform.port,
+                platform=link,
             )
         )
         self.nodes[name] = _Process(name, machine, ip, port, path)
