--- a/endivespindle/runtime/forwarding.py
+++ b/endivespindle/runtime/forwarding.py
@@ -206,10 +206,12 @@
         running: set[asyncio.Task[Forwarded]],
     ) -> bool:
         """Sends another attempt if one is allowed and a server is left."""
-        allowed = plan.max_attempts if plan.may_repeat else 1
         if seen.ran is not RunState.NOT_RUN and not plan.may_repeat:
             return False
-        if seen.sent - seen.not_run >= allowed or seen.not_run >= _MAX_NOT_RUN:
+        if (
+            seen.sent - seen.not_run >= plan.max_attempts
+            or seen.not_run >= _MAX_NOT_RUN
+        ):
             return False
         if seen.ran is not RunState.NOT_RUN and not self._budget.spend():
             return False
