Reset connections that are given up, and refuse bodies cut by a reset

Change: SO_LINGER 0 on all sockets of a node; the end of such a body is checked against how its connection ended. Ruled out: a second owner; no node logged an attempt.

--- a/endivespindle/backends/sessions.py
+++ b/endivespindle/backends/sessions.py
@@ -1,6 +1,9 @@
 """HTTP sessions towards the platform and backend servers."""
 
+import socket
 import types
+from collections.abc import Callable
+from typing import Any
 
 import aiohttp
 
@@ -8,7 +11,15 @@
 from endivespindle.exceptions import BackendServerError
 from endivespindle.schema.generated.caller import RunState
 
-__all__ = ["ConnectionCount", "open_session", "open_single_use_session"]
+__all__ = [
+    "SocketFactory",
+    "ConnectionCount",
+    "open_session",
+    "open_single_use_session",
+]
+
+
+SocketFactory = Callable[[tuple[Any, ...]], socket.socket]
 
 
 class ConnectionCount:
@@ -29,18 +40,25 @@
     )
 
 
-def open_single_use_session() -> aiohttp.ClientSession:
+def open_single_use_session(
+    *, socket_factory: SocketFactory | None = None
+) -> aiohttp.ClientSession:
     """Returns a session whose connections serve one exchange each.
 
     The library repeats GET, PUT and the like by itself after a lost
     connection. A second connection for the same exchange is refused here,
     before anything is sent over it. Each request must carry a
     `ConnectionCount` as its trace context.
+
+    Args:
+        socket_factory: Makes the sockets; the library's own if None.
     """
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_start.append(_refuse_second_connection)
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        connector=aiohttp.TCPConnector(
+            limit=0, force_close=True, socket_factory=socket_factory
+        ),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         trace_configs=[trace],
--- a/endivespindle/platform/servers.py
+++ b/endivespindle/platform/servers.py
@@ -1,5 +1,6 @@
 """Backend servers over HTTP, as the users' platform speaks it."""
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 
@@ -191,10 +192,11 @@
 class _HttpAnswer(Answer):
     """An answer that is being read from a connection."""
 
-    __slots__ = ("_resp", "head")
+    __slots__ = ("_ended", "_resp", "head")
 
     def __init__(self, resp: aiohttp.ClientResponse):
         self._resp = resp
+        self._ended = _connection_end(resp)
         self.head: AnswerHead = answer_head(
             resp.status,
             resp.headers,
@@ -207,9 +209,23 @@
     async def read(self) -> bytes:
         """Returns the whole body."""
         try:
-            return await self._resp.read()
+            body = await self._resp.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             raise _lost(repr(exc)) from exc
+        self._check_end()
+        return body
+
+    def _check_end(self) -> None:
+        """Refuses a body without a length unless its connection ended well.
+
+        The library takes a reset for the end of such a body.
+        """
+        if _is_framed(self._resp):
+            return
+        if self._ended is None or not self._ended.done():
+            raise _lost("the answer's end is not known")
+        if self._ended.exception() is not None:
+            raise _lost("the connection was reset within the answer")
 
     async def events(self) -> AsyncIterator[StreamEvent]:
         """Yields the events of a stream as they come."""
@@ -220,10 +236,28 @@
                     yield event
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             raise _lost(repr(exc)) from exc
+        self._check_end()
         if not cutter.is_whole:
             raise _lost("the stream ended within an event")
 
 
+def _connection_end(
+    resp: aiohttp.ClientResponse,
+) -> asyncio.Future[None] | None:
+    """Returns what will tell how the answer's connection ended."""
+    if _is_framed(resp) or resp.connection is None:
+        return None
+    protocol = resp.connection.protocol
+    return protocol.closed if protocol is not None else None
+
+
+def _is_framed(resp: aiohttp.ClientResponse) -> bool:
+    """Tells whether the end of a body is marked in the answer itself."""
+    bare = resp.method == "HEAD" or resp.status in (204, 304)
+    coding = resp.headers.get("Transfer-Encoding", "").lower()
+    return bare or resp.content_length is not None or "chunked" in coding
+
+
 def _url(server: ServerEntry, target: str) -> yarl.URL:
     return yarl.URL(f"http://{server.address}{target}", encoded=True)
 
--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -7,7 +7,6 @@
 
 import msgspec
 
-from endivespindle.backends.sessions import open_single_use_session
 from endivespindle.controller.capacity_plan import (
     SHRINK_AFTER_S,
     DemandBook,
@@ -50,6 +49,7 @@
 from endivespindle.runtime.peer_calls import LoadNews, NodeNews, PeerCalls
 from endivespindle.runtime.peer_server import PeerServer
 from endivespindle.runtime.relay import KindFeed, RelayAsk, RelayReply
+from endivespindle.runtime.sessions import open_once_session
 from endivespindle.runtime.settings import NodeRole
 from endivespindle.runtime.watching import KindFollower
 from endivespindle.serving.calls import OrderAnswer, VersionOrder
@@ -155,7 +155,7 @@
             window_s=settings.timing.usage_window_s,
             late_s=settings.timing.usage_late_s,
         )
-        self._session = open_single_use_session()
+        self._session = open_once_session()
         self._servers = PlatformServers(
             session=self._session, single_use=self._session
         )
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -5,7 +5,6 @@
 
 from aiohttp import web
 
-from endivespindle.backends.sessions import open_single_use_session
 from endivespindle.exceptions import PeerError
 from endivespindle.peers.tasks import end_tasks
 from endivespindle.platform.servers import PlatformServers
@@ -24,7 +23,10 @@
 from endivespindle.runtime.peer_calls import LoadNews, NodeNews, PeerCalls
 from endivespindle.runtime.peer_server import PeerServer
 from endivespindle.runtime.relay import RELAY_WAIT_S, RelayedStore
-from endivespindle.runtime.sessions import open_node_session
+from endivespindle.runtime.sessions import (
+    open_node_session,
+    open_once_session,
+)
 from endivespindle.runtime.settings import Endpoint, NodeRole
 from endivespindle.runtime.streaming import StreamRelay
 from endivespindle.runtime.usage_counter import UsageCounter
@@ -112,7 +114,7 @@
             node=settings.name,
             incarnation=parts.fleet.me.incarnation,
         )
-        self._sessions = [open_node_session(), open_single_use_session()]
+        self._sessions = [open_node_session(), open_once_session()]
         api = PlatformServers(
             session=self._sessions[0], single_use=self._sessions[1]
         )
--- a/endivespindle/runtime/sessions.py
+++ b/endivespindle/runtime/sessions.py
@@ -1,10 +1,18 @@
 """HTTP sessions of a node, whose sockets notice a silent far side."""
 
 import socket
+import struct
 
 import aiohttp
 
-__all__ = ["open_duty_session", "open_node_session", "tune_socket"]
+from endivespindle.backends.sessions import open_single_use_session
+
+__all__ = [
+    "open_duty_session",
+    "open_node_session",
+    "open_once_session",
+    "tune_socket",
+]
 
 # A connection whose far side acknowledges nothing for this long is dropped:
 # shorter than the time in which a cut must be noticed, far over a round trip.
@@ -12,13 +20,20 @@
 _PROBE_AFTER_S = 1
 _PROBE_INTERVAL_S = 1
 _PROBES = 2
+# l_onoff and l_linger of `struct linger`.
+_DROP_ON_CLOSE = struct.pack("ii", 1, 0)
 # Kept shorter than the servers' own idle timeout, so that none is reused as
 # it is being closed.
 _KEEPALIVE_S = 8.0
 
 
 def tune_socket(sock: socket.socket) -> None:
-    """Makes a connection fail once its far side is gone."""
+    """Makes a connection fail once its far side is gone.
+
+    Closing it drops what is still under way: a request that was given up must
+    not arrive once a cut heals.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _DROP_ON_CLOSE)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_AFTER_S)
@@ -63,3 +78,8 @@
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
     )
+
+
+def open_once_session() -> aiohttp.ClientSession:
+    """Returns a session for requests that must not be sent twice."""
+    return open_single_use_session(socket_factory=_socket)
