Load on a third of the servers, and watch the store from one controller

Change: a third of a service's servers load at once; homes by the servers the fleet owns, which the first holder writes down; controllers watch the holder, gateways list through their relay. A relay is asked every 0.6 s, so that its silence shows before keys count as unconfirmed (test_relay). Ruled out: homes by places wanted: half of them load as a step begins.

--- a/endivespindle/leases/lease.py
+++ b/endivespindle/leases/lease.py
@@ -110,6 +110,11 @@
         self._done: set[str] = set()
         self.state = LeaseState.WATCHING.value
 
+    @property
+    def holder(self) -> str:
+        """Holder of the record last seen; empty if there is none."""
+        return self._record.holder if self._record else ""
+
     @property
     def epoch(self) -> int:
         """Epoch of the record last seen: the fencing number when held."""
--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -39,7 +39,7 @@
 )
 from endivespindle.platform.servers import PlatformServers
 from endivespindle.runtime.context import NodeParts
-from endivespindle.runtime.fleet_view import NODE_KIND
+from endivespindle.runtime.fleet_view import NODE_KIND, NodeRecord
 from endivespindle.runtime.following import (
     NODES_WAIT_S,
     follow_config,
@@ -48,7 +48,12 @@
 )
 from endivespindle.runtime.peer_calls import LoadNews, NodeNews, PeerCalls
 from endivespindle.runtime.peer_server import PeerServer
-from endivespindle.runtime.relay import KindFeed, RelayAsk, RelayReply
+from endivespindle.runtime.relay import (
+    KindFeed,
+    RelayAsk,
+    RelayedStore,
+    RelayReply,
+)
 from endivespindle.runtime.sessions import open_once_session
 from endivespindle.runtime.settings import NodeRole
 from endivespindle.runtime.watching import KindFollower
@@ -57,6 +62,7 @@
 from endivespindle.serving.in_force import ConfigInForce
 from endivespindle.store.held_lease import HeldLease
 from endivespindle.store.object_store import StatusStore, StoredObject
+from endivespindle.store.update import read_object
 from endivespindle.weights.load_plan import LoadOrder, plan_loads
 
 __all__ = ["Controller"]
@@ -90,9 +96,16 @@
 # other.
 _ORDER_REST_S = 0.4
 _FROZEN_KIND = "usage-reports"
+_OWNED_KIND = "owned-servers"
 _CAPACITY_INTERVAL_S = 1.0
 
 
+class _OwnedServers(msgspec.Struct, kw_only=True):
+    """Servers of a service before any was ordered."""
+
+    count: int
+
+
 class Controller:
     """Holds the lease or waits for it, and acts while it holds.
 
@@ -115,9 +128,9 @@
         "_held",
         "_lease",
         "_loading",
-        "_model_demand",
         "_named",
         "_operations",
+        "_owned",
         "_parts",
         "_peers",
         "_required",
@@ -175,7 +188,7 @@
         self._retired: set[str] = set()
         self._capacity: dict[str, dict[str, int]] = {}
         self._demand = DemandBook(clock=parts.clock)
-        self._model_demand = DemandBook(clock=parts.clock)
+        self._owned: dict[str, int] = {}
         self._task: asyncio.Task[None] | None = None
         self._feeds = {
             kind: KindFeed(
@@ -219,18 +232,31 @@
             await self._session.close()
 
     def _relayed(self) -> list[KindFollower]:
-        """Returns followers of what gateways watch here."""
+        """Returns followers of what gateways watch here.
+
+        The holder of the lease watches the store; the other controllers watch
+        the holder, or the store while it does not answer.
+        """
+        watched = RelayedStore(
+            store=self._store,
+            peers=self._peers,
+            relay=self._holder,
+            clock=self._parts.clock,
+            on_shunned=lambda name, error: self._parts.log.decided(
+                "relay_shunned", relay=name, error=error
+            ),
+        )
         return [
             follow_config(
                 self._parts,
-                self._store,
+                watched,
                 self._config,
                 wait_s=self._config_wait_s(),
                 feed=self._feeds[CONFIG_KIND],
             ),
             follow_servers(
                 self._parts,
-                self._store,
+                watched,
                 self._directory,
                 wait_s=_SERVERS_WAIT_S,
                 on_change=lambda: None,
@@ -239,6 +265,14 @@
             follow_nodes(self._parts, self._store, self._feeds[NODE_KIND]),
         ]
 
+    def _holder(self) -> NodeRecord | None:
+        """Returns the node that holds the lease, if it is another one."""
+        name = self._lease.holder
+        if name == self._parts.settings.name:
+            return None
+        peers = self._parts.fleet.peers(NodeRole.CONTROLLER)
+        return next((node for node in peers if node.name == name), None)
+
     def _config_wait_s(self) -> float:
         return self._parts.settings.timing.revoke_s * _CONFIG_SHARE
 
@@ -253,7 +287,6 @@
         self._book.take(news.counts)
         self._required[news.counts.node] = news.required
         self._demand.take(news.counts.node, news.wanted)
-        self._model_demand.take(news.counts.node, news.wanted_models)
 
     async def _act(self) -> None:
         """Follows what the duties need, and carries them out."""
@@ -363,7 +396,7 @@
                     required=self._required_versions(),
                     loading=loading,
                     ordered=ordered,
-                    places={m: self._model_demand.peak(m) for m in named},
+                    owned=self._owned.get(spec.name, 0),
                 )
                 await asyncio.gather(*(self._load(order) for order in orders))
 
@@ -545,6 +578,8 @@
             for spec in config.services:
                 if spec.scaling is None:
                     continue
+                if not await self._knows_owned(spec.name):
+                    continue
                 wanted = plan_capacity(
                     spec,
                     self._directory.open_servers(spec.name),
@@ -556,6 +591,36 @@
                 for request in wanted:
                     await self._order(request)
 
+    async def _knows_owned(self, service: str) -> bool:
+        """Finds out how many servers were there before any was ordered.
+
+        The first holder of the lease writes it down; those after it read it.
+        """
+        if service in self._owned:
+            return True
+        running = len(self._directory.open_servers(service))
+        first = _OwnedServers(count=running)
+        try:
+            held, _ = await read_object(
+                self._store, kind=_OWNED_KIND, name=service, cls=_OwnedServers
+            )
+            if held is None:
+                if not running:
+                    return False
+                await self._store.put(
+                    kind=_OWNED_KIND,
+                    name=service,
+                    value=msgspec.json.encode(first),
+                    expect_version=0,
+                )
+        except PlatformError as exc:
+            self._parts.log.decided(
+                "owned_servers_unknown", service=service, error=str(exc)
+            )
+            return False
+        self._owned[service] = (held or first).count
+        return True
+
     async def _order(self, request: CapacityRequest) -> None:
         if self._operations is None or not self._lease.may_send(
             timeout_s=_ACT_TIMEOUT_S
--- a/endivespindle/runtime/following.py
+++ b/endivespindle/runtime/following.py
@@ -26,7 +26,7 @@
 NODES_WAIT_S = 20.0
 # Rest of a relay after changes; short against the bounds on configuration and
 # on leaving servers, 2 s, long enough that what belongs together comes at once.
-_SETTLE_S = 0.1
+_SETTLE_S = 0.3
 
 
 def follow_config(
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -48,6 +48,9 @@
 _SERVERS_WAIT_S = 5.0
 # Nodes come and go rarely, and the relay's own silence shows sooner elsewhere.
 _NODES_WAIT_S = 10.0
+# Time for which a node that starts waits to hear of its relay before it lists
+# from the store itself; all nodes of a fleet may start at once.
+_RELAY_KNOWN_S = 1.0
 # Time between two tellings of counts to the controllers, if there are new
 # ones, and in any case.
 _NEWS_INTERVAL_S = 0.25
@@ -182,7 +185,7 @@
         """Begins to follow the store and to listen."""
         parts = self._parts
         config_wait_s = self._max_unconfirmed_s() * _WATCH_SHARE
-        relayed = self._relayed()
+        relayed = self._relayed(wait_for_relay_s=_RELAY_KNOWN_S)
         nodes = follow_nodes(parts, self._relayed(max_wait_s=_NODES_WAIT_S))
         config = follow_config(
             parts, relayed, self._config, wait_s=config_wait_s
@@ -221,17 +224,26 @@
             web.Server(self._answer_ready, access_log=None), settings.readiness
         )
 
-    def _relayed(self, *, max_wait_s: float = RELAY_WAIT_S) -> RelayedStore:
+    def _near_controller(self) -> NodeRecord | None:
+        """Returns a controller of this data centre, if one is known."""
+        here = self._parts.settings.data_centre
+        nodes = self._parts.fleet.peers(NodeRole.CONTROLLER)
+        return next((n for n in nodes if n.data_centre == here), None)
+
+    def _relayed(
+        self, *, max_wait_s: float = RELAY_WAIT_S, wait_for_relay_s: float = 0.0
+    ) -> RelayedStore:
         """Returns the store as watched through this data centre's relay."""
         return RelayedStore(
             store=self._store,
             peers=self._peers,
-            fleet=self._parts.fleet,
+            relay=self._near_controller,
             clock=self._parts.clock,
             on_shunned=lambda name, error: self._parts.log.decided(
                 "relay_shunned", relay=name, error=error
             ),
             max_wait_s=max_wait_s,
+            wait_for_relay_s=wait_for_relay_s,
         )
 
     async def stop(self) -> None:
@@ -301,12 +313,10 @@
             if recent and sub.model:
                 known = required.get(sub.model, 0)
                 required[sub.model] = max(known, sub.min_version)
-        services, models = self._runner.wanted()
         return NodeNews(
             counts=self._usage.news(),
             required=required,
-            wanted=services,
-            wanted_models=models,
+            wanted=self._runner.wanted(),
         )
 
     async def _tell_now(self) -> None:
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -240,21 +240,19 @@
                 await asyncio.wait_for(self._wake.wait(), timeout_s)
             self._wake.clear()
 
-    def wanted(self) -> tuple[dict[str, int], dict[str, int]]:
-        """Returns the places that open jobs want, by service and by model."""
+    def wanted(self) -> dict[str, int]:
+        """Returns the places that open jobs want, by service."""
         services: dict[str, int] = {}
-        models: dict[str, int] = {}
         for job in self.jobs.values():
             if not job.is_open:
                 continue
-            sub = job.state.submission
             places = sum(
                 state.phase in (ItemPhase.WAITING, ItemPhase.GENERATING)
                 for state in job.state.items.values()
             )
-            services[sub.service] = services.get(sub.service, 0) + places
-            models[sub.model] = models.get(sub.model, 0) + places
-        return services, models
+            service = job.state.submission.service
+            services[service] = services.get(service, 0) + places
+        return services
 
     async def confirm(
         self, job: OwnedJob, *, max_age_s: float = _ITEM_CONFIRM_S
--- a/endivespindle/runtime/peer_calls.py
+++ b/endivespindle/runtime/peer_calls.py
@@ -86,13 +86,11 @@
         counts: Requests begun, by usage window.
         required: Oldest weight version that its open jobs accept, by model.
         wanted: Places that its open jobs want, by service.
-        wanted_models: The same by model.
     """
 
     counts: NodeCounts
     required: dict[str, int]
     wanted: dict[str, int]
-    wanted_models: dict[str, int]
 
 
 class LoadNews(msgspec.Struct, kw_only=True):
--- a/endivespindle/runtime/relay.py
+++ b/endivespindle/runtime/relay.py
@@ -16,9 +16,8 @@
 
 from endivespindle.core.clock import Clock
 from endivespindle.exceptions import PeerError
-from endivespindle.runtime.fleet_view import FleetView, NodeRecord
+from endivespindle.runtime.fleet_view import NodeRecord
 from endivespindle.runtime.peer_calls import PeerCalls
-from endivespindle.runtime.settings import NodeRole
 from endivespindle.store.object_store import (
     ObjectList,
     ObjectStore,
@@ -33,11 +32,13 @@
 _HISTORY = 512
 # Longest wait of a watch at a relay. Short, so that a relay that has gone
 # silent is noticed within the bounds on keys and on leaving servers.
-RELAY_WAIT_S = 1.0
+RELAY_WAIT_S = 0.6
 # Time beyond the wait after which the relay counts as silent.
 _SLACK_S = 0.3
 # Time for which the store is watched directly after a relay failed.
 _SHUN_S = 3.0
+# Pause between two looks for a relay that is not known yet.
+_LOOK_S = 0.1
 
 
 class RelayAsk(msgspec.Struct, kw_only=True):
@@ -162,20 +163,23 @@
     Args:
         store: The object API.
         peers: Calls other nodes.
-        fleet: Nodes known.
+        relay: Returns the node to watch, or None for the store itself.
         clock: Clock of this VM.
         on_shunned: Called when a relay does not answer.
         max_wait_s: Longest wait of a watch at a relay.
+        wait_for_relay_s: Seconds for which a first list waits for a relay to
+            be known.
     """
 
     __slots__ = (
+        "_choose",
         "_clock",
-        "_fleet",
         "_max_wait_s",
         "_on_shunned",
         "_peers",
         "_shunned",
         "_store",
+        "_wait_for_relay_s",
     )
 
     def __init__(
@@ -183,17 +187,19 @@
         *,
         store: ObjectStore,
         peers: PeerCalls,
-        fleet: FleetView,
+        relay: Callable[[], NodeRecord | None],
         clock: Clock,
         on_shunned: Callable[[str, str], None],
         max_wait_s: float = RELAY_WAIT_S,
+        wait_for_relay_s: float = 0.0,
     ):
         self._store = store
         self._peers = peers
-        self._fleet = fleet
+        self._choose = relay
         self._clock = clock
         self._on_shunned = on_shunned
         self._max_wait_s = max_wait_s
+        self._wait_for_relay_s = wait_for_relay_s
         self._shunned: dict[str, float] = {}
 
     async def get(self, *, kind: str, name: str) -> StoredObject | None:
@@ -218,6 +224,26 @@
 
     async def list_objects(self, *, kind: str, prefix: str = "") -> ObjectList:
         """Returns the objects of a kind whose names start with a prefix."""
+        left_s, self._wait_for_relay_s = self._wait_for_relay_s, 0.0
+        while left_s > 0 and self._relay() is None:
+            await asyncio.sleep(_LOOK_S)
+            left_s -= _LOOK_S
+        relay = self._relay()
+        if relay is not None:
+            ask = RelayAsk(kind=kind, after=-1, wait_s=_SLACK_S)
+            try:
+                events = await self._ask(relay, ask)
+            except PeerError as exc:
+                self._shun(relay, exc)
+            else:
+                objects = [
+                    o for o in events.objects if o.name.startswith(prefix)
+                ]
+                return ObjectList(
+                    version=events.version,
+                    objects=objects,
+                    lag_s=events.lag_s,
+                )
         return await self._store.list_objects(kind=kind, prefix=prefix)
 
     async def watch(
@@ -232,9 +258,7 @@
             try:
                 return await self._ask(relay, ask)
             except PeerError as exc:
-                until_s = self._clock.monotonic() + _SHUN_S
-                self._shunned[relay.name] = until_s
-                self._on_shunned(relay.name, str(exc))
+                self._shun(relay, exc)
                 # What the relay knew last may be old: ask without waiting.
                 wait_s = 0.0
         return await self._store.watch(kind=kind, after=after, wait_s=wait_s)
@@ -256,12 +280,14 @@
             lag_s=reply.lag_s,
         )
 
+    def _shun(self, relay: NodeRecord, exc: PeerError) -> None:
+        self._shunned[relay.name] = self._clock.monotonic() + _SHUN_S
+        self._on_shunned(relay.name, str(exc))
+
     def _relay(self) -> NodeRecord | None:
-        """Returns a controller of this data centre that answers."""
+        """Returns the relay, unless it has not answered of late."""
+        relay = self._choose()
+        if relay is None:
+            return None
         now_s = self._clock.monotonic()
-        me = self._fleet.me
-        for node in self._fleet.peers(NodeRole.CONTROLLER):
-            near = node.data_centre == me.data_centre
-            if near and self._shunned.get(node.name, 0.0) <= now_s:
-                return node
-        return None
+        return relay if self._shunned.get(relay.name, 0.0) <= now_s else None
--- a/endivespindle/runtime/watching.py
+++ b/endivespindle/runtime/watching.py
@@ -109,7 +109,7 @@
             listed = await self._store.list_objects(kind=self._kind)
             self._on_list(listed.objects)
             self._version = listed.version
-            return 0.0
+            return listed.lag_s
         events = await self._store.watch(
             kind=self._kind, after=self._version, wait_s=self._wait_s
         )
--- a/endivespindle/store/object_store.py
+++ b/endivespindle/store/object_store.py
@@ -31,10 +31,18 @@
 
 
 class ObjectList(msgspec.Struct, kw_only=True, frozen=True):
-    """Objects of one kind, and the version of the store they stand for."""
+    """Objects of one kind, and the version of the store they stand for.
+
+    Attributes:
+        version: Version of the store.
+        objects: All objects of the kind.
+        lag_s: Seconds by which the state told of is older than the call that
+            asked for it; more than 0 only if somebody passed it on.
+    """
 
     version: int
     objects: list[StoredObject]
+    lag_s: float = 0.0
 
 
 class WatchEvents(msgspec.Struct, kw_only=True, frozen=True):
--- a/endivespindle/weights/load_plan.py
+++ b/endivespindle/weights/load_plan.py
@@ -1,5 +1,6 @@
 """Which backend servers load which weight version next."""
 
+import math
 from collections.abc import Mapping, Sequence
 
 import msgspec
@@ -11,11 +12,10 @@
 # Homes of a model beyond an even share of the servers. Only half of a model's
 # homes load each version, so that twice the share costs no more loads.
 _HOME_FACTOR = 2
-# Homes of a model that wants few places: one loads while the other works.
-_LEAST_HOMES = 2
-# Servers that load at once: more of them load more slowly, as they share the
-# store of weights.
-_MAX_LOADING = 2
+# Share of a service's servers that load at once, and the fewest: more of them
+# load more slowly, as they share the store of weights, and leave too few places.
+_LOADING_SHARE = 1 / 3
+_LEAST_LOADING = 2
 
 
 class LoadOrder(msgspec.Struct, kw_only=True, frozen=True):
@@ -30,7 +30,7 @@
     servers: Sequence[ServerView],
     named: Mapping[str, int],
     ordered: Mapping[tuple[str, str], int] | None = None,
-    places: Mapping[str, int] | None = None,
+    owned: int = 0,
 ) -> dict[str, list[ServerView]]:
     """Returns the servers that each model's versions are loaded on.
 
@@ -45,24 +45,19 @@
         named: Newest version by model.
         ordered: Versions whose loads were accepted a moment ago, by server
             and model.
-        places: Places that a model's jobs want at once, by model; it gets no
-            more servers than offer these.
+        owned: Servers that the fleet has without orders, 0 if all; loads
+            beyond their even share are paid for.
     """
     if not named:
         return {}
     ordered = ordered or {}
-    share = -(-len(servers) * _HOME_FACTOR // len(named))
+    paid_for = min(owned or len(servers), len(servers))
+    share = -(-paid_for * _HOME_FACTOR // len(named))
     share = max(1, min(len(servers), share))
-    shares = {
-        model: _share(servers, share, (places or {}).get(model, 0))
-        for model in named
-    }
     homes: dict[str, list[ServerView]] = {model: [] for model in named}
     taken: dict[str, int] = {view.entry.name: 0 for view in servers}
-    for turn in range(share):
+    for _ in range(share):
         for model in sorted(named):
-            if turn >= shares[model]:
-                continue
             free = [view for view in servers if view not in homes[model]]
             if not free:
                 continue
@@ -86,7 +81,7 @@
     required: Mapping[str, int],
     loading: Mapping[str, LoadOrder],
     ordered: Mapping[tuple[str, str], int] | None = None,
-    places: Mapping[str, int] | None = None,
+    owned: int = 0,
 ) -> list[LoadOrder]:
     """Returns the loads to order now, the most urgent first.
 
@@ -103,11 +98,11 @@
         loading: Orders under way, by server.
         ordered: Versions whose loads were accepted a moment ago, by server
             and model; a server's own entry tells of them later.
-        places: Places that a model's jobs want at once, by model.
+        owned: Servers that the fleet has without orders; 0 if all.
     """
     ordered = ordered or {}
     orders: list[tuple[int, LoadOrder]] = []
-    all_homes = assign_homes(servers, named, ordered, places)
+    all_homes = assign_homes(servers, named, ordered, owned)
     for model, homes in all_homes.items():
         newest = named[model]
         least = max(required.get(model, 0), newest - 1)
@@ -129,7 +124,8 @@
                 )
                 orders.append((usable, order))
     orders.sort(key=lambda pair: pair[0])
-    free = max(0, _MAX_LOADING - len(loading))
+    at_once = max(_LEAST_LOADING, math.ceil(_LOADING_SHARE * len(servers)))
+    free = max(0, at_once - len(loading))
     chosen: dict[str, LoadOrder] = {}
     for _, order in orders:
         if len(chosen) < free:
@@ -137,14 +133,6 @@
     return list(chosen.values())
 
 
-def _share(servers: Sequence[ServerView], most: int, places: int) -> int:
-    """Returns the homes of a model that wants so many places at once."""
-    slots = max((view.entry.slots for view in servers), default=1)
-    if not places:
-        return most
-    return max(min(most, _LEAST_HOMES), min(most, -(-places // slots)))
-
-
 def _version(
     view: ServerView, model: str, ordered: Mapping[tuple[str, str], int]
 ) -> int:
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,177 @@
+"""Watches passed on by a relay, and how old what it tells is."""
+
+import asyncio
+
+import msgspec
+
+from endivespindle.exceptions import PeerError
+from endivespindle.runtime.fleet_view import NodeRecord
+from endivespindle.runtime.relay import KindFeed, RelayAsk, RelayedStore
+from endivespindle.runtime.settings import NodeRole
+from endivespindle.runtime.watching import KindFollower
+from endivespindle.standins.memory_store import MemoryObjectStore
+from tests.fleet_fakes import node_parts
+from tests.virtual_loop import run_virtual
+
+RELAY = NodeRecord(
+    name="c1",
+    role=NodeRole.CONTROLLER,
+    data_centre="a",
+    host="127.0.0.1",
+    peer_port=1,
+    incarnation="x",
+)
+
+
+class _World:
+    """A store, a relay that follows it, and a watcher of the relay."""
+
+    def __init__(self):
+        self.parts = node_parts("g1")
+        self.clock = self.parts.clock
+        self.store = MemoryObjectStore()
+        self.feed = KindFeed(clock=self.clock, max_age_s=2.7)
+        self.cut = False
+        self.seen = {}
+        self.confirmed = []
+        relay = self._follower(
+            self.store,
+            self.feed.take_list,
+            self.feed.take,
+            lambda version, asked_s: self.feed.confirm(
+                version=version, asked_s=asked_s
+            ),
+        )
+        self.shunned = []
+        relayed = RelayedStore(
+            store=self.store,
+            peers=self,
+            relay=lambda: RELAY,
+            clock=self.clock,
+            on_shunned=lambda *args: self.shunned.append(args),
+        )
+        watcher = self._follower(
+            relayed,
+            lambda objects: [self._take(obj) for obj in objects],
+            self._take,
+            lambda version, asked_s: self.confirmed.append(asked_s),
+        )
+        self.tasks = [asyncio.create_task(f.run()) for f in (relay, watcher)]
+
+    def _follower(self, store, on_list, on_change, on_confirmed):
+        return KindFollower(
+            store=store,
+            kind="config",
+            wait_s=1.1,
+            clock=self.clock,
+            rng=self.parts.rng,
+            log=self.parts.log,
+            on_list=on_list,
+            on_change=on_change,
+            on_confirmed=on_confirmed,
+        )
+
+    def _take(self, obj):
+        self.seen[obj.name] = obj.value
+
+    async def post(self, node, path, ask, *, timeout_s):
+        """Calls the relay as `PeerCalls` does."""
+        del node, path
+        if self.cut:
+            await asyncio.sleep(timeout_s)
+            raise PeerError("silent")
+        reply = await self.feed.answer(ask)
+        return msgspec.msgpack.encode(reply)
+
+    async def write(self, value):
+        obj = await self.store.get(kind="config", name="main")
+        await self.store.put(
+            kind="config",
+            name="main",
+            value=value,
+            expect_version=obj.version if obj else 0,
+        )
+
+
+def _play(story):
+    async def run():
+        world = _World()
+        await asyncio.sleep(3.0)
+        await story(world)
+
+    run_virtual(run())
+
+
+def test_a_change_reaches_watchers_of_a_relay_at_once():
+    async def story(world):
+        reads = world.store.reads
+        for number in range(10):
+            await world.write(b"%d" % number)
+            await asyncio.sleep(0.05)
+            assert world.seen["main"] == b"%d" % number
+        # One answer and one new watch each, by the relay alone.
+        assert world.store.reads - reads <= 10 + 10 + 2
+
+    _play(story)
+
+
+def test_what_a_relay_tells_is_never_taken_for_newer_than_it_is():
+    """Each confirmation is a time at which the store itself was asked."""
+
+    async def story(world):
+        for _ in range(40):
+            await asyncio.sleep(0.1)
+            assert world.confirmed[-1] <= world.feed._asked_s + 1e-6
+            age_s = world.clock.monotonic() - world.confirmed[-1]
+            assert age_s <= 2.3
+
+    _play(story)
+
+
+def test_a_silent_relay_is_left_before_keys_are_unconfirmed():
+    async def story(world):
+        world.cut = True
+        for _ in range(60):
+            await asyncio.sleep(0.1)
+            age_s = world.clock.monotonic() - world.confirmed[-1]
+            assert age_s <= 3.0
+        await world.write(b"new")
+        await asyncio.sleep(0.1)
+        assert world.seen["main"] == b"new"
+
+    _play(story)
+
+
+def test_a_relay_that_is_cut_off_does_not_speak_for_the_store():
+    async def story(world):
+        world.store.faults.down = True
+        await asyncio.sleep(3.0)
+        ask = RelayAsk(kind="config", after=0, wait_s=0.1)
+        assert await world.feed.answer(ask) is None
+
+    _play(story)
+
+
+def test_a_relay_with_nothing_new_answers_with_what_it_knows():
+    async def story(world):
+        asked_s = world.clock.monotonic()
+        reply = await world.feed.answer(
+            RelayAsk(kind="config", after=10_000, wait_s=0.2)
+        )
+        assert reply.objects == []
+        assert reply.lag_s >= -(world.clock.monotonic() - asked_s)
+
+    _play(story)
+
+
+def test_a_watcher_that_is_too_far_behind_lists_anew():
+    async def story(world):
+        for number in range(600):
+            await world.write(b"%d" % number)
+        await asyncio.sleep(0.5)
+        reply = await world.feed.answer(
+            RelayAsk(kind="config", after=1, wait_s=0.0)
+        )
+        assert reply.lost
+
+    _play(story)
