Write the owned servers down before the first order, not at the first look

Cause: the holder counted the servers 15 s before traffic, when three of 23 had registered; three homes served four models, and steps waited 8 s for weights. Ruled out: loads that slow running texts; the excess over the servers' pace was the same with 92 and 51 loads.

--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -295,6 +295,7 @@
         self._accepted.clear()
         self._resting.clear()
         self._capacity.clear()
+        self._owned.clear()
         self._book.begin(parts.clock.now().timestamp())
         follows = [
             self._follow(VERSION_KIND, self._take_version),
@@ -578,7 +579,7 @@
             for spec in config.services:
                 if spec.scaling is None:
                     continue
-                if not await self._knows_owned(spec.name):
+                if not await self._read_owned(spec.name):
                     continue
                 wanted = plan_capacity(
                     spec,
@@ -591,42 +592,50 @@
                 for request in wanted:
                     await self._order(request)
 
-    async def _knows_owned(self, service: str) -> bool:
-        """Finds out how many servers were there before any was ordered.
+    async def _read_owned(self, service: str) -> bool:
+        """Reads how many servers were there before any was ordered.
 
-        The first holder of the lease writes it down; those after it read it.
+        Returns:
+            Whether it is known, be it that none was ordered yet.
         """
         if service in self._owned:
             return True
-        running = len(self._directory.open_servers(service))
-        first = _OwnedServers(count=running)
         try:
             held, _ = await read_object(
                 self._store, kind=_OWNED_KIND, name=service, cls=_OwnedServers
             )
-            if held is None:
-                if not running:
-                    return False
-                await self._store.put(
-                    kind=_OWNED_KIND,
-                    name=service,
-                    value=msgspec.json.encode(first),
-                    expect_version=0,
-                )
         except PlatformError as exc:
             self._parts.log.decided(
                 "owned_servers_unknown", service=service, error=str(exc)
             )
             return False
-        self._owned[service] = (held or first).count
+        self._owned[service] = held.count if held else 0
         return True
 
+    async def _write_owned(self, service: str) -> None:
+        """Writes down how many servers there are, before the first order.
+
+        Raises:
+            PlatformError: The store did not take it.
+        """
+        if self._owned.get(service):
+            return
+        count = len(self._directory.open_servers(service))
+        await self._store.put(
+            kind=_OWNED_KIND,
+            name=service,
+            value=msgspec.json.encode(_OwnedServers(count=count)),
+            expect_version=0,
+        )
+        self._owned[service] = count
+
     async def _order(self, request: CapacityRequest) -> None:
         if self._operations is None or not self._lease.may_send(
             timeout_s=_ACT_TIMEOUT_S
         ):
             return
         try:
+            await self._write_owned(request.service)
             answer = await self._operations.order_capacity(
                 request, fence=self._fence(), timeout_s=_ACT_TIMEOUT_S
             )
--- a/endivespindle/weights/load_plan.py
+++ b/endivespindle/weights/load_plan.py
@@ -12,8 +12,8 @@
 # Homes of a model beyond an even share of the servers. Only half of a model's
 # homes load each version, so that twice the share costs no more loads.
 _HOME_FACTOR = 2
-# Share of a service's servers that load at once, and the fewest: more of them
-# load more slowly, as they share the store of weights, and leave too few places.
+# Share of a service's servers that load at once, and the fewest: they share the
+# store of weights, and the others must have places enough.
 _LOADING_SHARE = 1 / 3
 _LEAST_LOADING = 2
 
