Put one breaker and one budget before a node's calls to the store

Cause: while the store is down every node called it several times a second for each kind it follows; refused calls are paid for, too. Change: the product's own call gate (store/gate.py) stands before the adapter's object API; it also counts the calls by name and outcome. Ruled out: watches of sound nodes; relays carry those.

--- a/endivespindle/runtime/node.py
+++ b/endivespindle/runtime/node.py
@@ -22,6 +22,10 @@
 from endivespindle.runtime.sessions import open_duty_session, open_node_session
 from endivespindle.runtime.settings import NodeRole, NodeSettings
 from endivespindle.runtime.telemetry import configure_node_logs
+from endivespindle.store.breaker import Breaker
+from endivespindle.store.budget import CallBudget
+from endivespindle.store.budgeted_store import BudgetedStatusStore
+from endivespindle.store.gate import CallGate
 
 __all__ = ["run_node"]
 
@@ -30,6 +34,9 @@
 # slow; one that takes this long is lost.
 _STORE_TIMEOUT_S = 1.5
 _REGISTER_PAUSE_S = 0.3
+# Share of the store's rates that one node may use: a few nodes do most of the
+# work, none may starve the others.
+_NODE_SHARE = 0.1
 
 
 async def run_node(settings: NodeSettings) -> None:
@@ -81,10 +88,21 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._sessions: list[aiohttp.ClientSession] = [open_node_session()]
         settings = parts.settings
-        self._store = PlatformObjects(
-            session=self._sessions[0],
-            base_url=f"http://{settings.store}",
-            timeout_s=_STORE_TIMEOUT_S,
+        self._store = BudgetedStatusStore(
+            store=PlatformObjects(
+                session=self._sessions[0],
+                base_url=f"http://{settings.store}",
+                timeout_s=_STORE_TIMEOUT_S,
+            ),
+            gate=CallGate(
+                budget=CallBudget(
+                    clock=parts.clock,
+                    reads_per_s=settings.limits.reads_per_s * _NODE_SHARE,
+                    writes_per_s=settings.limits.writes_per_s * _NODE_SHARE,
+                ),
+                breaker=Breaker(clock=parts.clock, rng=parts.rng),
+                on_call=parts.metrics.platform_called,
+            ),
         )
         self._peer_server = PeerServer(
             host=settings.host, port=settings.peer_port, metrics=parts.metrics
--- a/endivespindle/store/budgeted_store.py
+++ b/endivespindle/store/budgeted_store.py
@@ -19,13 +19,31 @@
 from endivespindle.store.object_store import (
     ObjectList,
     ObjectStore,
+    StatusStore,
     StoredObject,
     WatchEvents,
 )
 
-__all__ = ["BudgetedCapacity", "BudgetedStore", "BudgetedUsage", "BudgetedVms"]
-
-_URGENT_KINDS = frozenset({"lease", "register", "register-revision", "keys"})
+__all__ = [
+    "BudgetedCapacity",
+    "BudgetedStatusStore",
+    "BudgetedStore",
+    "BudgetedUsage",
+    "BudgetedVms",
+]
+
+_URGENT_KINDS = frozenset(
+    {
+        "config",
+        "job-progress",
+        "jobs",
+        "keys",
+        "lease",
+        "register",
+        "register-revision",
+        "servers",
+    }
+)
 
 
 def _urgency(kind: str) -> Urgency:
@@ -55,6 +73,15 @@
             urgency=_urgency(kind),
         )
 
+    async def get_stale(self, *, kind: str, name: str) -> StoredObject | None:
+        """Returns an object as it was some seconds ago, at a lower price."""
+        return await self._gate.run(
+            f"get_stale:{kind}",
+            functools.partial(self._store.get_stale, kind=kind, name=name),
+            kind=CallKind.READ,
+            urgency=_urgency(kind),
+        )
+
     async def list_objects(self, *, kind: str, prefix: str = "") -> ObjectList:
         """Returns the objects of a kind whose names start with a prefix."""
         return await self._gate.run(
@@ -113,6 +140,32 @@
         )
 
 
+class BudgetedStatusStore(BudgetedStore, StatusStore):
+    """The same for a store whose objects carry a status.
+
+    Args:
+        store: The object API.
+        gate: Counts calls and holds them back.
+    """
+
+    __slots__ = ("_statuses",)
+
+    def __init__(self, *, store: StatusStore, gate: CallGate):
+        super().__init__(store=store, gate=gate)
+        self._statuses = store
+
+    async def put_status(self, *, kind: str, name: str, value: bytes) -> None:
+        """Replaces the status of an object that another writer keeps."""
+        await self._gate.run(
+            f"status:{kind}",
+            functools.partial(
+                self._statuses.put_status, kind=kind, name=name, value=value
+            ),
+            kind=CallKind.WRITE,
+            urgency=_urgency(kind),
+        )
+
+
 class BudgetedCapacity(CapacityInterface):
     """Orders that go through a gate, and never wait in it.
 
