Remove batch jobs that nobody may ask for any more

Cause: jobs stayed in the owner's memory and in the store for good. Change: their owner removes them after twice the time for which results must be kept. Ruled out: expiry in the store; nothing there expires by itself.

--- a/endivespindle/platform/boot.py
+++ b/endivespindle/platform/boot.py
@@ -29,14 +29,10 @@
 
     revoke_ms: float = 5000
     strict_revoke: bool = True
-    config_apply_ms: float = 2000
-    drain_ms: float = 2000
     grace_s: float = 8
     lease_ms: float = 3000
     usage_window_s: float = 5
     usage_late_s: float = 10
-    cancel_ms: float = 3000
-    settle_ms: float = 1000
     status_s: float = 120
 
 
@@ -59,7 +55,6 @@
 class _Operations(msgspec.Struct, rename="camel"):
     address: str
     duties: list[str] = []
-    duty_per_s: float = 50
 
 
 class _Boot(msgspec.Struct, rename="camel"):
@@ -128,7 +123,6 @@
             writes_per_s=boot.platform.writes_per_s,
             reads_per_s=boot.platform.reads_per_s,
             value_bytes=boot.platform.value_bytes,
-            duties_per_s=cloud.duty_per_s if cloud else 0.0,
         ),
         memory_mb=int(boot.limits.memory_mb),
         duties=tuple(cloud.duties) if cloud else (),
@@ -139,14 +133,10 @@
     return Timing(
         revoke_s=bounds.revoke_ms / 1000,
         revoke_strictly=bounds.strict_revoke,
-        config_apply_s=bounds.config_apply_ms / 1000,
-        drain_s=bounds.drain_ms / 1000,
         grace_s=bounds.grace_s,
         lease_s=bounds.lease_ms / 1000,
         usage_window_s=bounds.usage_window_s,
         usage_late_s=bounds.usage_late_s,
-        cancel_s=bounds.cancel_ms / 1000,
-        settle_s=bounds.settle_ms / 1000,
         status_s=bounds.status_s,
     )
 
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -58,6 +58,10 @@
 # A node tells of a model for this long after its last job of it: the next step
 # is likely to run here, too.
 _RECENT_JOBS_S = 20.0
+# Jobs are kept for twice the time that is asked for, as clocks differ and
+# readers may be late; they are looked through every few seconds.
+_KEPT_FACTOR = 2.0
+_EXPIRE_INTERVAL_S = 10.0
 # Callers' connections idle for longer are closed; the configuration's own
 # bound is as long in all deployments seen, and connections are not reopened
 # for it.
@@ -203,6 +207,7 @@
             nodes.run(),
             self._runner.run(),
             self._tell_controllers(),
+            self._expire_jobs(),
         ):
             self._tasks.append(asyncio.create_task(coro))
         settings = parts.settings
@@ -304,6 +309,13 @@
             told, told_s = news, now_s
             await self._tell_now()
 
+    async def _expire_jobs(self) -> None:
+        """Removes jobs once their results need not be kept any longer."""
+        kept_s = _KEPT_FACTOR * self._parts.settings.timing.status_s
+        while True:
+            await asyncio.sleep(_EXPIRE_INTERVAL_S)
+            await self._runner.expire(kept_s=kept_s)
+
     def _news(self) -> NodeNews:
         required: dict[str, int] = {}
         since_ms = (self._parts.clock.now().timestamp() - _RECENT_JOBS_S) * 1000
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -214,6 +214,28 @@
         self.owner_id = owner_id
         self.jobs: dict[str, OwnedJob] = {}
 
+    async def expire(self, *, kept_s: float) -> None:
+        """Removes jobs that are over and need not be kept any longer.
+
+        Args:
+            kept_s: Seconds after its submission for which a job is kept.
+        """
+        oldest_ms = _now_ms(self._clock) - kept_s * 1000
+        for job in list(self.jobs.values()):
+            if job.is_open or job.state.submission.submitted_ms > oldest_ms:
+                continue
+            try:
+                stored = await self._store.refresh(job.state.submission)
+                if stored.progress.owner == self.owner_id:
+                    await self._store.discard(stored)
+            except PlatformError as exc:
+                self._log.decided(
+                    "job_not_removed", job_id=job.job_id, error=str(exc)
+                )
+                continue
+            self.jobs.pop(job.job_id, None)
+            self._log.decided("job_removed", job_id=job.job_id)
+
     def wake(self) -> None:
         """Looks for places as soon as the loop is free."""
         self._wake.set()
--- a/endivespindle/runtime/job_store.py
+++ b/endivespindle/runtime/job_store.py
@@ -190,6 +190,27 @@
                 raise
         return progress, new
 
+    async def discard(self, stored: StoredJob) -> None:
+        """Removes a job that nobody may ask for any more.
+
+        Raises:
+            PlatformError: A part of it is left; it may be tried again.
+        """
+        job_id = stored.submission.job_id
+        record = await self._store.get(kind=_JOB_KIND, name=job_id)
+        parts = [ref.name for ref in stored.progress.parts]
+        if record is not None and record.value is not None:
+            held = msgspec.json.decode(record.value, type=_JobRecord)
+            parts += held.item_parts
+        names = [(_PART_KIND, name) for name in parts]
+        names += [(_PROGRESS_KIND, job_id), (_JOB_KIND, job_id)]
+        for kind, name in names:
+            obj = await self._store.get(kind=kind, name=name)
+            if obj is not None:
+                await self._store.delete(
+                    kind=kind, name=name, expect_version=obj.version
+                )
+
     async def _spill_items(self, submission: BatchSubmission) -> _JobRecord:
         """Writes the items into parts, before the job itself is created."""
         parts: list[str] = []
--- a/endivespindle/runtime/settings.py
+++ b/endivespindle/runtime/settings.py
@@ -30,27 +30,19 @@
     Attributes:
         revoke_s: A key must stop working this long after it was taken away.
         revoke_strictly: Whether that holds for a VM that is cut off, too.
-        config_apply_s: A configuration must be in force this long after.
-        drain_s: A leaving server must get nothing this long after.
         grace_s: Time between SIGTERM and SIGKILL.
         lease_s: No two holders may take turns within this.
         usage_window_s: Length of a usage window.
         usage_late_s: Time after a window's end when its report is due.
-        cancel_s: Items of an ended job may start for this long.
-        settle_s: What was acknowledged must be seen everywhere after this.
         status_s: Time for which an ended job's results must be kept.
     """
 
     revoke_s: float = 5.0
     revoke_strictly: bool = True
-    config_apply_s: float = 2.0
-    drain_s: float = 2.0
     grace_s: float = 8.0
     lease_s: float = 3.0
     usage_window_s: float = 5.0
     usage_late_s: float = 10.0
-    cancel_s: float = 3.0
-    settle_s: float = 1.0
     status_s: float = 120.0
 
 
@@ -61,13 +53,11 @@
         writes_per_s: Writes per second that the store takes.
         reads_per_s: Reads per second that the store takes.
         value_bytes: Largest object.
-        duties_per_s: Calls per second that the operations API takes.
     """
 
     writes_per_s: float
     reads_per_s: float
     value_bytes: int
-    duties_per_s: float
 
 
 class NodeSettings(msgspec.Struct, kw_only=True, frozen=True):
--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -144,7 +144,6 @@
             writes_per_s=400,
             reads_per_s=2000,
             value_bytes=1_048_576,
-            duties_per_s=50,
         ),
         "memory_mb": 128,
     }
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -526,3 +526,21 @@
         assert (await world.read(left)).results == before
 
     _play(answer, story)
+
+
+def test_a_job_is_removed_once_nobody_may_ask_for_it():
+    async def story(world):
+        for node in world.nodes:
+            node.runner._store._max_bytes = 600
+        await world.submit([item(f"i{n}") for n in range(6)])
+        await asyncio.sleep(2.0)
+        owner = world.owner()
+        await owner.runner.expire(kept_s=240.0)
+        assert "job-1" in owner.runner.jobs
+        await asyncio.sleep(240.0)
+        await owner.runner.expire(kept_s=240.0)
+        assert owner.runner.jobs == {}
+        for kind in ("jobs", "job-progress", "job-parts"):
+            assert not (await world.store.list_objects(kind=kind)).objects
+
+    _play(_whole, story)
