--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -1,15 +1,17 @@
-"""Example settings that a newcomer starts from."""
+"""Every docstring's example runs."""
 
-import pathlib
+import doctest
+import importlib
+import pkgutil
 
-import pytest
+import endivespindle
 
-from endivespindle.cli.files import load_settings
 
-EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
-
-
-@pytest.mark.parametrize("path", sorted(EXAMPLES.glob("*/vm.toml")), ids=str)
-def test_settings_are_sound(path):
-    settings = load_settings(path)
-    assert settings.vm.data_centre
+def test_docstring_examples():
+    failed = 0
+    for info in pkgutil.walk_packages(endivespindle.__path__, "endivespindle."):
+        if ".tests" in info.name or info.name.endswith("__main__"):
+            continue
+        module = importlib.import_module(info.name)
+        failed += doctest.testmod(module).failed
+    assert failed == 0
