Map the errors of exchanges with backend servers in one place

platform/servers.py and backends/http_client.py each translated the HTTP library's errors and judged whether a body's end is marked. Both now use backends/exchange.py.

--- a/endivespindle/backends/http_client.py
+++ b/endivespindle/backends/http_client.py
@@ -6,6 +6,12 @@
 import aiohttp
 import msgspec
 
+from endivespindle.backends.exchange import (
+    end_exchange,
+    is_framed,
+    lost,
+    sending_errors,
+)
 from endivespindle.backends.interfaces import (
     Engine,
     PlainService,
@@ -31,7 +37,6 @@
 
 _STATUS_CALL_TIMEOUT_S = 1.0
 _READ_BYTES = 65_536
-_STATUSES_WITHOUT_BODY = (204, 304)
 _MAX_LINE_BYTES = 1_048_576
 _CONNECT_TIMEOUT_S = 2.0
 
@@ -131,7 +136,8 @@
             content_type=call.content_type,
             timeout_s=call.timeout_s,
         ) as resp:
-            _check_framing(resp, call.method)
+            if not is_framed(resp):
+                raise lost("the answer's end is not marked")
             body = await _read(resp, max_bytes=max_bytes)
             answered = resp.headers.get("X-Request-Id", call.request_id)
             if answered != call.request_id:
@@ -202,36 +208,25 @@
             total=self._timeout_s,
             sock_connect=min(self._timeout_s, _CONNECT_TIMEOUT_S),
         )
-        try:
+        with sending_errors():
             self._resp = await self._session.request(
                 url=self._url,
                 timeout=timeout,
                 allow_redirects=False,
                 **self._args,
             )
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ) as exc:
-            raise BackendServerError(
-                f"unreachable: {exc!r}",
-                ran=RunState.NOT_RUN,
-                reason=Reason.BACKEND_UNREACHABLE,
-            ) from exc
-        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
-            raise _lost(repr(exc)) from exc
         return self._resp
 
     async def __aexit__(
         self, exc_type: type | None, exc: BaseException | None, tb: object
     ) -> None:
         assert self._resp is not None
-        if exc is None and self._resp.content.at_eof():
-            self._resp.release()
+        if exc is None:
+            end_exchange(self._resp)
         else:
             self._resp.close()
         if isinstance(exc, (TimeoutError, aiohttp.ClientError, OSError)):
-            raise _lost(repr(exc)) from exc
+            raise lost(repr(exc)) from exc
 
 
 async def _read(
@@ -258,7 +253,7 @@
     async for part in resp.content.iter_any():
         *lines, rest = (rest + part).split(b"\n")
         if len(rest) > _MAX_LINE_BYTES:
-            raise _lost("a line without an end")
+            raise lost("a line without an end")
         for line in lines:
             if line:
                 yield line
@@ -268,24 +263,10 @@
     try:
         return msgspec.json.decode(body, type=cls)
     except msgspec.DecodeError as exc:
-        raise _lost(f"malformed answer: {exc}") from exc
-
-
-def _check_framing(resp: aiohttp.ClientResponse, method: str) -> None:
-    """Refuses a body whose end cannot be told from a cut connection."""
-    bare = method == "HEAD" or resp.status in _STATUSES_WITHOUT_BODY
-    chunked = "chunked" in resp.headers.get("Transfer-Encoding", "").lower()
-    if not (bare or chunked or resp.content_length is not None):
-        raise _lost("the answer's end is not marked")
+        raise lost(f"malformed answer: {exc}") from exc
 
 
 def _failed(status: int) -> BackendServerError:
     return BackendServerError(
         f"status {status}", ran=RunState.RAN, reason=Reason.BACKEND_FAILED
     )
-
-
-def _lost(message: str) -> BackendServerError:
-    return BackendServerError(
-        message, ran=RunState.UNKNOWN, reason=Reason.BACKEND_LOST
-    )
--- a/endivespindle/platform/servers.py
+++ b/endivespindle/platform/servers.py
@@ -8,6 +8,13 @@
 import msgspec
 import yarl
 
+from endivespindle.backends.exchange import (
+    end_exchange,
+    is_framed,
+    lost,
+    reading_errors,
+    sending_errors,
+)
 from endivespindle.backends.sessions import ConnectionCount
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import BackendServerError
@@ -35,7 +42,6 @@
 # A connection that is not open after this long goes to a server that is gone
 # or cut off: the round trip within a region is a few milliseconds.
 _CONNECT_TIMEOUT_S = 0.6
-_READ_BYTES = 65_536
 # A stream that says nothing for this long comes from a server that fell
 # silent: the longest pause in sound streams is a weight change, 0.9 s and
 # more while several servers load.
@@ -84,7 +90,7 @@
     ) -> AsyncIterator[Answer]:
         """Sends a request and returns its answer once the head is in."""
         session = self._session if call.may_repeat else self._single_use
-        try:
+        with sending_errors():
             resp = await session.request(
                 call.method,
                 _url(server, call.target),
@@ -99,17 +105,6 @@
                 ),
                 trace_request_ctx=ConnectionCount(),
             )
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ) as exc:
-            raise BackendServerError(
-                f"unreachable: {exc!r}",
-                ran=RunState.NOT_RUN,
-                reason=Reason.BACKEND_UNREACHABLE,
-            ) from exc
-        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
-            raise _lost(repr(exc)) from exc
         try:
             if not answers_request(resp.headers, call.request_id):
                 raise BackendServerError(
@@ -119,10 +114,7 @@
                 )
             yield _HttpAnswer(resp)
         finally:
-            if resp.content.at_eof() and resp.content.exception() is None:
-                resp.release()
-            else:
-                resp.close()
+            end_exchange(resp)
 
     async def report(
         self, server: ServerEntry, *, timeout_s: float
@@ -139,11 +131,11 @@
         async with self.send(server, call, timeout_s=timeout_s) as answer:
             body = await answer.read()
             if answer.head.status != 200:
-                raise _lost(f"report: status {answer.head.status}")
+                raise lost(f"report: status {answer.head.status}")
         try:
             doc = msgspec.json.decode(body, type=_Report)
         except msgspec.MsgspecError as exc:
-            raise _lost(f"report: {exc}") from exc
+            raise lost(f"report: {exc}") from exc
         return ServerReport(
             orders=doc.sequence,
             busy=doc.busy,
@@ -208,10 +200,8 @@
 
     async def read(self) -> bytes:
         """Returns the whole body."""
-        try:
+        with reading_errors():
             body = await self._resp.read()
-        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
-            raise _lost(repr(exc)) from exc
         self._check_end()
         return body
 
@@ -220,49 +210,38 @@
 
         The library takes a reset for the end of such a body.
         """
-        if _is_framed(self._resp):
+        if is_framed(self._resp):
             return
         if self._ended is None or not self._ended.done():
-            raise _lost("the answer's end is not known")
+            raise lost("the answer's end is not known")
         if self._ended.exception() is not None:
-            raise _lost("the connection was reset within the answer")
+            raise lost("the connection was reset within the answer")
 
     async def events(self) -> AsyncIterator[StreamEvent]:
         """Yields the events of a stream as they come."""
         cutter = EventCutter()
-        try:
-            async for data in self._resp.content.iter_any():
-                for event in cutter.feed(data):
-                    yield event
-        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
-            raise _lost(repr(exc)) from exc
+        chunks = self._resp.content.iter_any()
+        while True:
+            with reading_errors():
+                data = await anext(chunks, None)
+            if data is None:
+                break
+            for event in cutter.feed(data):
+                yield event
         self._check_end()
         if not cutter.is_whole:
-            raise _lost("the stream ended within an event")
+            raise lost("the stream ended within an event")
 
 
 def _connection_end(
     resp: aiohttp.ClientResponse,
 ) -> asyncio.Future[None] | None:
     """Returns what will tell how the answer's connection ended."""
-    if _is_framed(resp) or resp.connection is None:
+    if is_framed(resp) or resp.connection is None:
         return None
     protocol = resp.connection.protocol
     return protocol.closed if protocol is not None else None
 
 
-def _is_framed(resp: aiohttp.ClientResponse) -> bool:
-    """Tells whether the end of a body is marked in the answer itself."""
-    bare = resp.method == "HEAD" or resp.status in (204, 304)
-    coding = resp.headers.get("Transfer-Encoding", "").lower()
-    return bare or resp.content_length is not None or "chunked" in coding
-
-
 def _url(server: ServerEntry, target: str) -> yarl.URL:
     return yarl.URL(f"http://{server.address}{target}", encoded=True)
-
-
-def _lost(message: str) -> BackendServerError:
-    return BackendServerError(
-        message, ran=RunState.UNKNOWN, reason=Reason.BACKEND_LOST
-    )
