--- a/endivespindle/runtime/ingress.py
+++ b/endivespindle/runtime/ingress.py
@@ -42,6 +42,24 @@
 _CALLER_GONE = "caller_gone"
 
 
+class _Asked(msgspec.Struct, kw_only=True, frozen=True):
+    """A permitted request whose body was read.
+
+    Attributes:
+        request: The caller's request.
+        permit: What the configuration allows it.
+        hints: What its headers say.
+        body: Its whole body.
+        begun_s: Monotonic time at which its head had been read.
+    """
+
+    request: web.BaseRequest
+    permit: Permit
+    hints: CallerHints
+    body: bytes
+    begun_s: float
+
+
 class Ingress:
     """Handles each request of a caller.
 
@@ -154,74 +172,58 @@
     ) -> web.StreamResponse:
         if not hints.request_id:
             raise RefusedError(Reason.MALFORMED, "The request has no id.")
-        body = await self._read_body(request)
+        asked = _Asked(
+            request=request,
+            permit=permit,
+            hints=hints,
+            body=await self._read_body(request),
+            begun_s=begun_s,
+        )
         handlers: dict[
-            RouteKind,
-            Callable[..., Awaitable[web.StreamResponse]],
+            RouteKind, Callable[[_Asked], Awaitable[web.StreamResponse]]
         ] = {
             RouteKind.IDEMPOTENT: self._forward,
             RouteKind.NON_IDEMPOTENT: self._forward,
             RouteKind.STREAM: self._stream,
             RouteKind.BATCH: self._submit,
         }
-        return await handlers[permit.route.kind](
-            request, permit, hints, body, begun_s
-        )
+        return await handlers[permit.route.kind](asked)
 
-    async def _forward(
-        self,
-        request: web.BaseRequest,
-        permit: Permit,
-        hints: CallerHints,
-        body: bytes,
-        begun_s: float,
-    ) -> web.StreamResponse:
-        call, plan = self._plan(request, permit, hints, body, begun_s)
+    async def _forward(self, asked: _Asked) -> web.StreamResponse:
+        call, plan = self._plan(asked)
         answer = await self._forwarder.forward(call, plan)
-        if permit.client_account:
-            self._usage.count(permit.client_account)
+        if asked.permit.client_account:
+            self._usage.count(asked.permit.client_account)
         resp = web.Response(status=answer.head.status, body=answer.body)
         for name, value in answer.head.headers:
             resp.headers.add(name, value)
         return resp
 
-    async def _stream(
-        self,
-        request: web.BaseRequest,
-        permit: Permit,
-        hints: CallerHints,
-        body: bytes,
-        begun_s: float,
-    ) -> web.StreamResponse:
-        call, plan = self._plan(request, permit, hints, body, begun_s)
-        call = msgspec.structs.replace(call, last_event_id=hints.last_event_id)
+    async def _stream(self, asked: _Asked) -> web.StreamResponse:
+        call, plan = self._plan(asked)
+        call = msgspec.structs.replace(
+            call, last_event_id=asked.hints.last_event_id
+        )
         return await self._streams.relay(
-            request,
+            asked.request,
             call,
             plan,
-            resumable=permit.route.resumable,
-            on_start=lambda: self._usage.count(permit.client_account),
+            resumable=asked.permit.route.resumable,
+            on_start=lambda: self._usage.count(asked.permit.client_account),
         )
 
-    def _plan(
-        self,
-        request: web.BaseRequest,
-        permit: Permit,
-        hints: CallerHints,
-        body: bytes,
-        begun_s: float,
-    ) -> tuple[ServerCall, ForwardPlan]:
-        route = permit.route
-        bound_s = min(route.timeout_s, hints.deadline_s or math.inf)
+    def _plan(self, asked: _Asked) -> tuple[ServerCall, ForwardPlan]:
+        route, request = asked.permit.route, asked.request
+        bound_s = min(route.timeout_s, asked.hints.deadline_s or math.inf)
         call = ServerCall(
-            request_id=hints.request_id,
+            request_id=asked.hints.request_id,
             method=request.method,
             target=request.raw_path,
             host=request.headers.get("Host", ""),
             headers=list(request.headers.items()),
-            body=body,
-            client_account=permit.client_account,
-            urgency=min(9, permit.priority),
+            body=asked.body,
+            client_account=asked.permit.client_account,
+            urgency=min(9, asked.permit.priority),
             may_repeat=route.kind is RouteKind.IDEMPOTENT,
         )
         plan = ForwardPlan(
@@ -229,29 +231,22 @@
             may_repeat=call.may_repeat,
             max_attempts=max(1, route.max_attempts),
             target_latency_s=route.target_latency_s,
-            deadline_s=begun_s + bound_s - _ANSWER_MARGIN_S,
+            deadline_s=asked.begun_s + bound_s - _ANSWER_MARGIN_S,
         )
         return call, plan
 
-    async def _submit(
-        self,
-        request: web.BaseRequest,
-        permit: Permit,
-        hints: CallerHints,
-        body: bytes,
-        begun_s: float,
-    ) -> web.StreamResponse:
-        del begun_s
+    async def _submit(self, asked: _Asked) -> web.StreamResponse:
         if self.closing:
             raise RefusedError(Reason.DRAINING, retry_after_s=0.05)
+        permit = asked.permit
         try:
             submission: BatchSubmission = decode_submission(
-                body,
-                job_id=hints.request_id,
+                asked.body,
+                job_id=asked.hints.request_id,
                 client_account=permit.client_account,
                 route=permit.route,
                 service=self._config.choose_service(permit.route, self._rng),
-                path=request.raw_path,
+                path=asked.request.raw_path,
                 submitted_ms=math.floor(self._clock.now().timestamp() * 1000),
                 owner=self._owner_id,
             )
