Let the node alone end its connections to backend servers

The system dropped the connection after 0.46 s, as its probes had failed, and the item went elsewhere; its bytes arrived all the same when the cut healed 5.8 s later, 3.1 s after the end of the job. A connection that the system drops is never reset, and only a reset drops what is held up. Change: sockets to backend servers have neither probes nor a user timeout. Requests for texts are given up by the node, which resets the connection: 1.5 s without the head of an answer, or 3 s where they may wait in the queue.

--- a/endivespindle/batch/pace.py
+++ b/endivespindle/batch/pace.py
@@ -20,8 +20,8 @@
 # A server that says nothing for this long within a text is lost: some dozen
 # events, and over the pause in which it reads another prompt.
 _SILENCE_S = 1.5
-# The same before the first event, for which a request may wait in the
-# server's queue, and while the server loads weights, 0.9 s and more.
+# The same while a request may wait in the server's queue, and while the server
+# loads weights, 0.9 s and more.
 _LONG_SILENCE_S = 3.0
 # A text longer than expected is expected to go on for this share of its
 # length so far: lengths have a heavy tail.
@@ -79,7 +79,7 @@
     return rest * (pace_s - best_s) >= _LEAST_GAIN_S
 
 
-def silence_limit_s(*, has_begun: bool, is_loading: bool) -> float:
+def silence_limit_s(*, may_wait: bool, is_loading: bool) -> float:
     """Returns the seconds without an event after which a server is lost.
 
     The load pattern answered: a data centre is cut off in the middle of a
@@ -87,15 +87,13 @@
     and go on elsewhere without reading more than their prompt again.
 
     Args:
-        has_begun: Whether an event of this answer has come.
+        may_wait: Whether the request may wait in the server's queue.
         is_loading: Whether the server may be loading weights.
 
     Example:
-        >>> silence_limit_s(has_begun=True, is_loading=False)
+        >>> silence_limit_s(may_wait=False, is_loading=False)
         1.5
-        >>> silence_limit_s(has_begun=False, is_loading=False)
+        >>> silence_limit_s(may_wait=True, is_loading=False)
         3.0
     """
-    if has_begun and not is_loading:
-        return _SILENCE_S
-    return _LONG_SILENCE_S
+    return _LONG_SILENCE_S if may_wait or is_loading else _SILENCE_S
--- a/endivespindle/runtime/forwarding.py
+++ b/endivespindle/runtime/forwarding.py
@@ -71,14 +71,38 @@
     *,
     clock: Clock,
     timeout_s: float | None,
+    head_timeout_s: float | None = None,
 ) -> AsyncIterator[Answer]:
-    """Sends a request and keeps the books on its server."""
+    """Sends a request and keeps the books on its server.
+
+    Args:
+        api: Speaks to backend servers.
+        view: Server to send it to.
+        call: The request.
+        clock: Clock of this VM.
+        timeout_s: Seconds for the whole exchange.
+        head_timeout_s: Seconds until the head of the answer must be in.
+
+    Raises:
+        BackendServerError: The server did not answer, or not in time.
+    """
     begun_s = clock.monotonic()
     view.started()
     failed = False
     duration_s = None
     try:
-        async with api.send(view.entry, call, timeout_s=timeout_s) as answer:
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                async with asyncio.timeout(head_timeout_s):
+                    answer = await stack.enter_async_context(
+                        api.send(view.entry, call, timeout_s=timeout_s)
+                    )
+            except TimeoutError as exc:
+                raise BackendServerError(
+                    "no answer in time",
+                    ran=RunState.UNKNOWN,
+                    reason=Reason.BACKEND_SILENT,
+                ) from exc
             if answer.head.load is not None:
                 view.saw_load(
                     running=answer.head.load.running,
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -24,8 +24,8 @@
 from endivespindle.runtime.peer_server import PeerServer
 from endivespindle.runtime.relay import RELAY_WAIT_S, RelayedStore
 from endivespindle.runtime.sessions import (
-    open_node_session,
     open_once_session,
+    open_server_session,
 )
 from endivespindle.runtime.settings import Endpoint, NodeRole
 from endivespindle.runtime.streaming import StreamRelay
@@ -121,7 +121,7 @@
             node=settings.name,
             incarnation=parts.fleet.me.incarnation,
         )
-        self._sessions = [open_node_session(), open_once_session()]
+        self._sessions = [open_server_session(), open_once_session()]
         api = PlatformServers(
             session=self._sessions[0], single_use=self._sessions[1]
         )
--- a/endivespindle/runtime/sessions.py
+++ b/endivespindle/runtime/sessions.py
@@ -5,12 +5,17 @@
 
 import aiohttp
 
-from endivespindle.backends.sessions import open_single_use_session
+from endivespindle.backends.sessions import (
+    SocketFactory,
+    open_single_use_session,
+)
 
 __all__ = [
     "open_duty_session",
     "open_node_session",
     "open_once_session",
+    "open_server_session",
+    "tune_server_socket",
     "tune_socket",
 ]
 
@@ -27,14 +32,21 @@
 _KEEPALIVE_S = 8.0
 
 
-def tune_socket(sock: socket.socket) -> None:
-    """Makes a connection fail once its far side is gone.
+def tune_server_socket(sock: socket.socket) -> None:
+    """Makes closing a connection drop what is still under way.
 
-    Closing it drops what is still under way: a request that was given up must
-    not arrive once a cut heals.
+    A request that was given up must not arrive once a cut heals. So the
+    system's own time-outs stay off: a connection that it drops is never reset,
+    and what a cut has held up may arrive all the same. Who sends a request
+    bounds its time.
     """
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _DROP_ON_CLOSE)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def tune_socket(sock: socket.socket) -> None:
+    """Makes a connection fail once its far side is gone."""
+    tune_server_socket(sock)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_AFTER_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S)
@@ -49,15 +61,30 @@
     return sock
 
 
-def open_node_session(
-    *, keepalive_s: float = _KEEPALIVE_S
-) -> aiohttp.ClientSession:
+def _server_socket(addr_info: tuple) -> socket.socket:
+    family, kind, proto, _, _ = addr_info
+    sock = socket.socket(family=family, type=kind, proto=proto)
+    tune_server_socket(sock)
+    return sock
+
+
+def open_node_session() -> aiohttp.ClientSession:
+    """Returns a session for calls to the store and to other nodes."""
+    return _pooled(_socket)
+
+
+def open_server_session() -> aiohttp.ClientSession:
+    """Returns a session for requests to backend servers."""
+    return _pooled(_server_socket)
+
+
+def _pooled(socket_factory: SocketFactory) -> aiohttp.ClientSession:
     """Returns a session that pools connections and repeats nothing."""
     session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
             limit=0,
-            keepalive_timeout=keepalive_s,
-            socket_factory=_socket,
+            keepalive_timeout=_KEEPALIVE_S,
+            socket_factory=socket_factory,
             use_dns_cache=False,
         ),
         auto_decompress=False,
@@ -82,4 +109,4 @@
 
 def open_once_session() -> aiohttp.ClientSession:
     """Returns a session for requests that must not be sent twice."""
-    return open_single_use_session(socket_factory=_socket)
+    return open_single_use_session(socket_factory=_server_socket)
--- a/endivespindle/runtime/text_runner.py
+++ b/endivespindle/runtime/text_runner.py
@@ -111,7 +111,15 @@
         try:
             with job.unanswered() as answered:
                 async with open_attempt(
-                    self._api, view, call, clock=self._clock, timeout_s=None
+                    self._api,
+                    view,
+                    call,
+                    clock=self._clock,
+                    timeout_s=None,
+                    head_timeout_s=silence_limit_s(
+                        may_wait=view.load() >= view.entry.slots,
+                        is_loading=not view.takes_model(sub.model),
+                    ),
                 ) as answer:
                     answered()
                     outcome = await self._receive(job, state, view, answer)
@@ -236,7 +244,7 @@
         has_begun = False
         while True:
             limit_s = silence_limit_s(
-                has_begun=has_begun, is_loading=not view.takes_model(model)
+                may_wait=not has_begun, is_loading=not view.takes_model(model)
             )
             try:
                 async with asyncio.timeout(limit_s):
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -686,3 +686,24 @@
         assert (await world.read()).results[0].text == "t1\nt2\nt3"
 
     _play(answer, story)
+
+
+def test_a_request_that_no_server_answers_goes_elsewhere():
+    """A pooled connection went silent while it was idle."""
+
+    def answer(name, call):
+        if name == silent[0]:
+            return never
+        return _whole(name, call)
+
+    async def never():
+        await asyncio.sleep(30.0)
+
+    silent = ["e0"]
+
+    async def story(world):
+        await world.submit([item(f"i{n}") for n in range(4)])
+        await asyncio.sleep(2.9)
+        assert len((await world.read()).results) == 4
+
+    _play(answer, story)
