Take an answer that only ends a text, and run steps on large VMs

Each of these had all its events but had lost the end of its answer; every resume was answered by an empty stream that names no weight version, which was taken for version 0 and so for stale weights, 308 times on all servers. Such an answer now ends the text; an event without a version is still not taken.

Jobs now go to nodes with at least half of the largest node's processor time, as the settings tell it.

Near the due time a whole group is listed at once, not after up to 1 s: each group earns by itself.

--- a/endivespindle/batch/listing.py
+++ b/endivespindle/batch/listing.py
@@ -12,6 +12,9 @@
 _SINGLE_S = 0.3
 # Time before the results are due from which each of them counts.
 _BEFORE_DUE_S = 1.5
+# Time before that from which a whole group is listed at once: a late group is
+# worth less to its trainer, which reads twice a second.
+_GROUPS_BEFORE_DUE_S = 3.0
 
 
 def listing_delay(job: JobState, *, now_ms: int) -> float:
@@ -35,6 +38,8 @@
     if before < sub.group_count <= after:
         return 0.0
     age_s = (now_ms - sub.submitted_ms) / 1000
+    if after > before and age_s >= sub.due_s - _GROUPS_BEFORE_DUE_S:
+        return 0.0
     if age_s >= sub.due_s - _BEFORE_DUE_S:
         return _SINGLE_S
     return _RELAXED_S
--- a/endivespindle/batch/tests/test_listing.py
+++ b/endivespindle/batch/tests/test_listing.py
@@ -54,3 +54,11 @@
     _finish(job, "0-0")
     job.terminated(job.items["0-1"])
     assert job.whole_groups() == (0, 1)
+
+
+def test_a_whole_group_is_written_at_once_near_the_due_time():
+    """Each group earns by itself; its last text is whole 1 s before."""
+    job = _job(group_count=3, due_s=7.5)
+    _finish(job, "0-0", "0-1")
+    assert listing_delay(job, now_ms=5000) == 0.0
+    assert listing_delay(job, now_ms=4000) == 1.0
--- a/endivespindle/batch/tests/test_schedule.py
+++ b/endivespindle/batch/tests/test_schedule.py
@@ -102,9 +102,19 @@
 
 
 def test_steps_of_a_model_stay_at_one_node():
-    nodes = ["n1", "n2", "n3"]
+    nodes = dict.fromkeys(["n1", "n2", "n3"], 1.0)
     steps = [submission([], job_id=f"j{i}") for i in range(5)]
     owners = {preferred_owner(s, nodes, default="n1") for s in steps}
     assert len(owners) == 1
-    left = [n for n in nodes if n not in owners]
+    left = {n: 1.0 for n in nodes if n not in owners}
     assert preferred_owner(steps[0], left, default="n1") in left
+
+
+def test_steps_go_to_large_nodes_while_there_are_any():
+    """VMs have 0.5 or 2.15 cores; a step is a hundred streams at one node."""
+    nodes = {f"n{i}": 0.5 for i in range(40)} | {"big1": 2.15, "big2": 2.15}
+    models = [submission([], model=f"m{i}") for i in range(8)]
+    owners = {preferred_owner(s, nodes, default="n1") for s in models}
+    assert owners <= {"big1", "big2"}
+    small = {name: cpu for name, cpu in nodes.items() if cpu < 1}
+    assert preferred_owner(models[0], small, default="n1") in small
--- a/endivespindle/platform/boot.py
+++ b/endivespindle/platform/boot.py
@@ -43,6 +43,10 @@
 
 class _Limits(msgspec.Struct, rename="camel"):
     memory_mb: float = 128
+    # Share of one core.
+    cpu_share: float = 1.0
+    # No count: how many times as fast that core is.
+    cores: float = 1.0
 
 
 class _Store(msgspec.Struct, rename="camel"):
@@ -126,6 +130,7 @@
         ),
         memory_mb=int(boot.limits.memory_mb),
         duties=tuple(cloud.duties) if cloud else (),
+        cpu=boot.limits.cpu_share * boot.limits.cores,
     )
 
 
--- a/endivespindle/runtime/fleet_view.py
+++ b/endivespindle/runtime/fleet_view.py
@@ -21,6 +21,7 @@
         host: IP number.
         peer_port: Port for calls and datagrams between nodes.
         incarnation: Identity of this start of the process.
+        cpu: Processor time a second that its VM has.
     """
 
     name: str
@@ -29,6 +30,7 @@
     host: str
     peer_port: int
     incarnation: str
+    cpu: float = 1.0
 
     @property
     def owner_id(self) -> str:
@@ -59,6 +61,7 @@
             host=settings.host,
             peer_port=settings.peer_port,
             incarnation=incarnation,
+            cpu=settings.cpu,
         )
         self._nodes: dict[str, NodeRecord] = {}
 
--- a/endivespindle/runtime/job_service.py
+++ b/endivespindle/runtime/job_service.py
@@ -232,7 +232,8 @@
             if self._avoided.get(node.owner_id, 0.0) <= now_s
         }
         nodes[me.name] = me
-        return nodes[preferred_owner(submission, nodes, default=me.name)]
+        cpu = {name: node.cpu for name, node in nodes.items()}
+        return nodes[preferred_owner(submission, cpu, default=me.name)]
 
     def _begin(
         self, submission: BatchSubmission, owner: NodeRecord, asked_s: float
--- a/endivespindle/runtime/settings.py
+++ b/endivespindle/runtime/settings.py
@@ -78,6 +78,8 @@
         limits: Rates of the platform.
         memory_mb: Memory this process may use.
         duties: Duties that the platform asks for.
+        cpu: Processor time a second that this VM has, in cores of the
+            platform's usual speed.
     """
 
     name: str
@@ -94,3 +96,4 @@
     limits: PlatformLimits
     memory_mb: int
     duties: tuple[str, ...] = ()
+    cpu: float = 1.0
--- a/endivespindle/runtime/text_runner.py
+++ b/endivespindle/runtime/text_runner.py
@@ -162,11 +162,12 @@
         if head.status != 200:
             await answer.read()
             return self._failed(job, state, head.status)
-        version = head.weight_version or 0
-        if sub.model:
+        version = head.weight_version
+        if version is not None:
             view.answered_with(sub.model, version)
-        if version < sub.min_version:
-            return "stale_version"
+            if version < sub.min_version:
+                return "stale_version"
+        # An answer that only tells that the text has ended names no version.
         return await self._take_events(job, state, view, answer, version)
 
     async def _take_events(
@@ -175,7 +176,7 @@
         state: ItemState,
         view: ServerView,
         answer: Answer,
-        version: int,
+        version: int | None,
     ) -> str:
         """Reads a text's events; returns how they ended."""
         sub = job.state.submission
@@ -184,6 +185,8 @@
             if event.weight_version is not None:
                 version = event.weight_version
                 view.answered_with(sub.model, version)
+            if version is None:
+                return "version_unknown"
             if version < sub.min_version:
                 # An order that was carried out late took old weights back.
                 return "stale_version"
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -707,3 +707,38 @@
         assert len((await world.read()).results) == 4
 
     _play(answer, story)
+
+
+def test_a_text_whose_end_was_lost_is_whole_without_another_event():
+    """A server that has nothing to add names no weight version."""
+
+    def answer(name, call):
+        del name
+        if call.last_event_id is None:
+            return ScriptedAnswer(events=[1, 2, 3, lost()])
+        return ScriptedAnswer(events=[], version=None)
+
+    async def story(world):
+        await world.submit([item("i1")])
+        await asyncio.sleep(2.0)
+        result = (await world.read()).results[0]
+        assert (result.text, result.versions) == ("t1\nt2\nt3", (1,))
+        assert len(world.sent("i1")) == 2
+
+    _play(answer, story)
+
+
+def test_events_without_a_weight_version_are_not_taken():
+    def answer(name, call):
+        del call
+        return ScriptedAnswer(
+            events=[1, 2, 3], version=None if name == "e0" else 1
+        )
+
+    async def story(world):
+        await world.submit([item("i1")])
+        await asyncio.sleep(3.0)
+        results = (await world.read()).results
+        assert [r.versions for r in results] == [(1,)]
+
+    _play(answer, story)
