Hand the texts of a job over with the job, and start steps where the store is

Change: a node takes a job only if the store answers it within 0.6 s, and tells a reader within the same time that it cannot be sure; the node that takes a job over asks the one before for its texts, which gives the job up.

After an outage the creation of a job is tried 0.25 s after the last try, not after the breaker's pause of up to 2 s: steps were refused for 2 s after the store's return.

--- a/endivespindle/batch/carry.py
+++ b/endivespindle/batch/carry.py
@@ -1,9 +1,13 @@
-"""Texts of groups that a trainer may ask for again."""
+"""Texts that outlive the job or the owner they were generated for."""
+
+from collections.abc import Iterable
+
+import msgspec
 
 from endivespindle.batch.job import ItemState, JobState
 from endivespindle.core.clock import Clock
 
-__all__ = ["CarriedTexts"]
+__all__ = ["CarriedTexts", "TextCopy", "copy_texts", "take_texts"]
 
 # Texts kept; a step has some dozen items that may come again.
 _MAX_TEXTS = 512
@@ -55,3 +59,65 @@
                 state.go_on_from(text)
                 used += 1
         return used
+
+
+class TextCopy(msgspec.Struct, kw_only=True, frozen=True):
+    """What an owner has of one item that is not listed.
+
+    Attributes:
+        item_id: Identity of the item.
+        pieces: Data of the events received, in order.
+        versions: Weight versions that generated them, in order.
+        server: Name of the server that generated the last of them.
+        is_whole: Whether the text is whole.
+        failures: Answers of 500 so far.
+        reward_failures: Answers of 500 to its reward call so far.
+    """
+
+    item_id: str
+    pieces: list[str]
+    versions: list[int]
+    server: str
+    is_whole: bool
+    failures: int
+    reward_failures: int
+
+
+def copy_texts(job: JobState) -> list[TextCopy]:
+    """Returns what a job has of items that are not listed.
+
+    The load pattern answered: the store turns a third of the nodes away for
+    seconds, or nodes restart one after the other. Each of their steps has
+    some dozen texts under way, which would start anew at the next owner and
+    end after the step is due.
+    """
+    return [
+        TextCopy(
+            item_id=state.item.item_id,
+            pieces=state.pieces,
+            versions=state.versions,
+            server=state.server,
+            is_whole=state.is_whole,
+            failures=state.failures,
+            reward_failures=state.reward_failures,
+        )
+        for state in job.items.values()
+        if state.pieces or state.failures or state.reward_failures
+    ]
+
+
+def take_texts(job: JobState, texts: Iterable[TextCopy]) -> int:
+    """Gives a job what its owner before had; returns the texts used."""
+    used = 0
+    for text in texts:
+        state = job.items.get(text.item_id)
+        if state is None or len(state.pieces) >= len(text.pieces):
+            continue
+        state.pieces = list(text.pieces)
+        state.versions = list(text.versions)
+        state.server = text.server
+        state.is_whole = text.is_whole
+        state.failures = text.failures
+        state.reward_failures = text.reward_failures
+        used += 1
+    return used
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -182,6 +182,7 @@
             answer=self._jobs.answer,
             news=self._jobs.take_news,
             assign=self._jobs.take_assignment,
+            release=self._jobs.release,
         )
         peer_server.serve_loads(self._take_load)
 
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -4,12 +4,17 @@
 import contextlib
 import math
 import random
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from typing import Any
 
 import msgspec
 
-from endivespindle.batch.carry import CarriedTexts
+from endivespindle.batch.carry import (
+    CarriedTexts,
+    TextCopy,
+    copy_texts,
+    take_texts,
+)
 from endivespindle.batch.job import ItemPhase, ItemState, JobState
 from endivespindle.batch.listing import listing_delay
 from endivespindle.batch.schedule import place_items
@@ -41,6 +46,9 @@
 # While items wait, places are looked for at least this often, as loads told
 # by answers lose their weight with time.
 _LOOK_INTERVAL_S = 0.1
+# Jobs lost whose texts are kept for their new owner; a node runs the steps of
+# one or two trainers at a time.
+_MAX_RELEASED = 4
 # Pause before an item is sent again after its job could not be confirmed.
 _UNCONFIRMED_PAUSE_S = 0.05
 
@@ -69,6 +77,7 @@
         "_data_centre",
         "_directory",
         "_log",
+        "_released",
         "_rewards",
         "_rng",
         "_store",
@@ -117,6 +126,7 @@
             rng=rng,
             log=log,
         )
+        self._released: dict[str, JobState] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
         self._carried = CarriedTexts(clock=clock)
@@ -149,14 +159,27 @@
         """Looks for places as soon as the loop is free."""
         self._wake.set()
 
-    def add(self, stored: StoredJob, *, asked_s: float) -> OwnedJob:
-        """Begins to run a job that this node owns."""
+    def add(
+        self,
+        stored: StoredJob,
+        *,
+        asked_s: float,
+        texts: Sequence[TextCopy] = (),
+    ) -> OwnedJob:
+        """Begins to run a job that this node owns.
+
+        Args:
+            stored: The job as the store holds it.
+            asked_s: When the store was asked for it.
+            texts: What its owner before had of it.
+        """
         job = OwnedJob(
             stored=stored,
             confirmed_s=asked_s,
             known_s=self._clock.monotonic(),
         )
-        carried = self._carried.fill(job.state)
+        carried = take_texts(job.state, texts)
+        carried += self._carried.fill(job.state)
         if carried:
             self._log.decided("texts_carried", job_id=job.job_id, texts=carried)
         self.jobs[job.job_id] = job
@@ -242,6 +265,28 @@
             await self._save(job, owner=owner_id)
             self._lose(job, owner_id)
 
+    def release(
+        self, job_id: str, *, owner_id: str, version: int
+    ) -> list[TextCopy]:
+        """Gives a job up to the node that took it over.
+
+        Args:
+            job_id: Identity of the job.
+            owner_id: Node that took it over.
+            version: Version of the record that made it the owner.
+
+        Returns:
+            What this node has of the items that are not listed.
+        """
+        job = self.jobs.get(job_id)
+        if job is not None:
+            if version <= job.version:
+                # The message is older than what this node knows.
+                return []
+            self._lose(job, owner_id)
+        state = self._released.pop(job_id, None)
+        return copy_texts(state) if state is not None else []
+
     def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
         """Starts something that ends by itself once its job is over."""
         task = asyncio.create_task(coro)
@@ -424,6 +469,10 @@
 
     def _lose(self, job: OwnedJob, owner_id: str) -> None:
         job.lost = True
+        if job.is_unfinished:
+            self._released[job.job_id] = job.state
+        while len(self._released) > _MAX_RELEASED:
+            self._released.pop(next(iter(self._released)))
         job.cancel_items()
         job.notify()
         job.fresh.set()
--- a/endivespindle/runtime/job_service.py
+++ b/endivespindle/runtime/job_service.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from endivespindle.batch.carry import TextCopy
 from endivespindle.batch.job import page
 from endivespindle.batch.ownership import preferred_owner
 from endivespindle.batch.progress import JobProgress
@@ -21,12 +22,15 @@
     RefusedError,
 )
 from endivespindle.runtime.fleet_view import FleetView, NodeRecord
-from endivespindle.runtime.job_runner import JobRunner, OwnedJob
+from endivespindle.runtime.job_runner import JobRunner
 from endivespindle.runtime.job_store import Creation, JobStore, StoredJob
+from endivespindle.runtime.owned_job import OwnedJob
 from endivespindle.runtime.peer_calls import (
     JobAsk,
     JobNews,
+    JobRelease,
     JobReply,
+    JobTexts,
     PeerCalls,
     ReadState,
 )
@@ -53,8 +57,12 @@
 _SILENT_S = 1.0
 # Jobs of other nodes whose owner is remembered.
 _MAX_KNOWN = 4096
-# Time for which no new job is given to a node that did not take one.
-_AVOID_S = 5.0
+# Time for which no new job is given to a node that did not take one: about
+# as long as the store turns single nodes away.
+_AVOID_S = 8.0
+# Time in which the store must answer a node that is asked for a job or given
+# one; its answer takes some milliseconds, and the node that asks waits 0.7 s.
+_ANSWER_CONFIRM_S = 0.6
 
 
 class JobService:
@@ -78,6 +86,7 @@
         "_peers",
         "_runner",
         "_store",
+        "_taking",
         "_tasks",
         "_unreached",
         "draining",
@@ -102,6 +111,7 @@
         self._known: dict[str, str] = {}
         self._avoided: dict[str, float] = {}
         self._unreached: dict[str, float] = {}
+        self._taking: dict[str, asyncio.Lock] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self.draining = False
 
@@ -141,14 +151,31 @@
         if created is Creation.CREATED:
             self._begin(submission, owner, asked_s)
 
-    def take_assignment(self, submission: BatchSubmission) -> bool:
-        """Begins to run a job that another node accepted for this one."""
+    async def take_assignment(self, submission: BatchSubmission) -> bool:
+        """Begins to run a job that another node accepted for this one.
+
+        Returns:
+            Whether it does; not if it cannot ask the store just now, as the
+            message may be seconds old and no result could be listed.
+        """
         if self.draining or submission.first_owner != self._runner.owner_id:
             return False
-        if submission.job_id not in self._runner.jobs:
-            # The message may be seconds old: the store is asked first.
-            self._runner.add(_new_job(submission), asked_s=-math.inf)
-        return True
+        job = self._runner.jobs.get(submission.job_id)
+        if job is None:
+            job = self._runner.add(_new_job(submission), asked_s=-math.inf)
+        try:
+            async with asyncio.timeout(_ANSWER_CONFIRM_S):
+                return await self._runner.confirm(job)
+        except TimeoutError:
+            return False
+
+    def release(self, release: JobRelease) -> JobTexts:
+        """Gives a job up to the node that took it over."""
+        texts = self._runner.release(
+            release.job_id, owner_id=release.owner_id, version=release.version
+        )
+        self._remember(release.job_id, release.owner_id)
+        return JobTexts(texts=texts)
 
     async def ask(self, ask: JobAsk) -> JobReply:
         """Answers for a job, from its owner wherever that is.
@@ -182,9 +209,7 @@
         await self._wait_for_result(job, ask)
         # What is listed stays true; that there is no more must be confirmed.
         more = len(job.state.listed) > ask.after
-        if not more and not await self._runner.confirm(
-            job, max_age_s=_READ_CONFIRM_S
-        ):
+        if not more and not await self._confirm_to_reader(job):
             return JobReply(
                 state=ReadState.NOT_OWNER if job.lost else ReadState.UNSURE
             )
@@ -193,11 +218,21 @@
         reply.results = list(results)
         return reply
 
+    async def _confirm_to_reader(self, job: OwnedJob) -> bool:
+        """Confirms a job in the time for which a reader's node waits."""
+        try:
+            async with asyncio.timeout(_ANSWER_CONFIRM_S):
+                return await self._runner.confirm(
+                    job, max_age_s=_READ_CONFIRM_S
+                )
+        except TimeoutError:
+            return False
+
     def take_news(self, news: JobNews) -> None:
         """Takes in who runs a job; takes it over if asked to."""
         self._remember(news.job_id, news.owner_id)
         if news.adopt:
-            self._spawn(self._adopt(news.job_id))
+            self._spawn(self._adopt(news))
 
     async def hand_over_all(self) -> None:
         """Gives every open job to a peer, before this node goes."""
@@ -216,7 +251,10 @@
                 continue
             self._remember(job.job_id, peer.owner_id)
             news = JobNews(
-                job_id=job.job_id, owner_id=peer.owner_id, adopt=True
+                job_id=job.job_id,
+                owner_id=peer.owner_id,
+                adopt=True,
+                owner_before=self._runner.owner_id,
             )
             with contextlib.suppress(PeerError):
                 # The peer takes it over when it is first asked for it.
@@ -256,7 +294,9 @@
         try:
             await self._peers.post(owner, "/jobs/assign", submission)
         except PeerError as exc:
-            self._avoided[owner.owner_id] = self._clock.monotonic() + _AVOID_S
+            now_s = self._clock.monotonic()
+            self._avoided[owner.owner_id] = now_s + _AVOID_S
+            self._unreached[owner.owner_id] = now_s
             self._log.decided(
                 "job_not_assigned",
                 job_id=submission.job_id,
@@ -337,17 +377,41 @@
         silent_s = self._unreached.get(owner.owner_id, -math.inf)
         return self._clock.monotonic() - silent_s >= _SILENT_S
 
-    async def _adopt(self, job_id: str) -> None:
+    async def _adopt(self, news: JobNews) -> None:
         asked_s = self._clock.monotonic()
         try:
-            stored = await self._store.load(job_id)
+            stored = await self._store.load(news.job_id)
             if stored is not None:
-                await self._take_over(stored, asked_s=asked_s)
+                await self._take_over(
+                    stored, asked_s=asked_s, owner_before=news.owner_before
+                )
         except PlatformError as exc:
-            self._log.state("job_not_adopted", job_id=job_id, error=str(exc))
+            self._log.state(
+                "job_not_adopted", job_id=news.job_id, error=str(exc)
+            )
 
-    async def _take_over(self, stored: StoredJob, *, asked_s: float) -> bool:
-        """Becomes the owner of a job; tells whether this node is now."""
+    async def _take_over(
+        self, stored: StoredJob, *, asked_s: float, owner_before: str = ""
+    ) -> bool:
+        """Becomes the owner of a job; tells whether this node is now.
+
+        Args:
+            stored: The job as the store holds it.
+            asked_s: When the store was asked for it.
+            owner_before: Node that ran it, if the record says no more.
+        """
+        job_id = stored.submission.job_id
+        lock = self._taking.setdefault(job_id, asyncio.Lock())
+        try:
+            async with lock:
+                return await self._become_owner(stored, asked_s, owner_before)
+        finally:
+            if not lock.locked():
+                self._taking.pop(job_id, None)
+
+    async def _become_owner(
+        self, stored: StoredJob, asked_s: float, owner_before: str
+    ) -> bool:
         job_id = stored.submission.job_id
         if job_id in self._runner.jobs:
             return True
@@ -371,17 +435,46 @@
             stored = msgspec.structs.replace(
                 stored, progress=progress, version=version
             )
+        texts = await self._texts_of(owner_before or old, stored)
         self._log.decided(
             "job_taken_over",
             job_id=job_id,
-            owner_before=old,
+            owner_before=owner_before or old,
             listed=len(stored.results),
+            texts=len(texts),
             version=stored.version,
         )
-        if job_id not in self._runner.jobs:
-            self._runner.add(stored, asked_s=asked_s)
+        self._runner.add(stored, asked_s=asked_s, texts=texts)
         return True
 
+    async def _texts_of(
+        self, owner_id: str, stored: StoredJob
+    ) -> list[TextCopy]:
+        """Returns what the owner before has, if it still runs and answers."""
+        owner = self._fleet.owner(owner_id)
+        if (
+            owner is None
+            or owner_id == self._runner.owner_id
+            or not self._is_reachable(owner)
+        ):
+            return []
+        release = JobRelease(
+            job_id=stored.submission.job_id,
+            owner_id=self._runner.owner_id,
+            version=stored.version,
+        )
+        try:
+            return await self._peers.release(owner, release)
+        except PeerError as exc:
+            self._unreached[owner_id] = self._clock.monotonic()
+            self._log.decided(
+                "texts_not_released",
+                job_id=release.job_id,
+                owner=owner.name,
+                error=str(exc),
+            )
+            return []
+
     async def _end(self, job: OwnedJob) -> JobReply:
         for _ in range(3):
             try:
--- a/endivespindle/runtime/owned_job.py
+++ b/endivespindle/runtime/owned_job.py
@@ -75,10 +75,15 @@
         """Identity of the job."""
         return self.state.submission.job_id
 
+    @property
+    def is_unfinished(self) -> bool:
+        """Tells whether items are to be run, here or at another node."""
+        return not (self.state.ended or self.state.is_complete)
+
     @property
     def is_open(self) -> bool:
-        """Tells whether items may still be run."""
-        return not (self.lost or self.state.ended or self.state.is_complete)
+        """Tells whether items may still be run here."""
+        return not self.lost and self.is_unfinished
 
     def least_age_s(self, clock: Clock) -> float:
         """Returns the age that the job has whatever the VMs' clocks say."""
--- a/endivespindle/runtime/peer_calls.py
+++ b/endivespindle/runtime/peer_calls.py
@@ -6,6 +6,7 @@
 import aiohttp
 import msgspec
 
+from endivespindle.batch.carry import TextCopy
 from endivespindle.batch.progress import ItemResult
 from endivespindle.controller.usage_windows import NodeCounts
 from endivespindle.exceptions import PeerError
@@ -14,7 +15,9 @@
 __all__ = [
     "JobAsk",
     "JobNews",
+    "JobRelease",
     "JobReply",
+    "JobTexts",
     "LoadNews",
     "NodeNews",
     "PeerCalls",
@@ -72,11 +75,39 @@
 
 
 class JobNews(msgspec.Struct, kw_only=True):
-    """Tells peers who runs a job."""
+    """Tells peers who runs a job.
+
+    Attributes:
+        job_id: Identity of the job.
+        owner_id: Node that runs it.
+        adopt: Whether the one told is to take it over.
+        owner_before: Node that ran it until now, if it is being handed over.
+    """
 
     job_id: str
     owner_id: str
     adopt: bool = False
+    owner_before: str = ""
+
+
+class JobRelease(msgspec.Struct, kw_only=True):
+    """Tells an owner that its job was taken over, and asks for its texts.
+
+    Attributes:
+        job_id: Identity of the job.
+        owner_id: Node that took it over.
+        version: Version of the job's record that made it the owner.
+    """
+
+    job_id: str
+    owner_id: str
+    version: int
+
+
+class JobTexts(msgspec.Struct, kw_only=True):
+    """What the owner before had of the items that are not listed."""
+
+    texts: list[TextCopy] = []
 
 
 class NodeNews(msgspec.Struct, kw_only=True):
@@ -135,6 +166,20 @@
         except msgspec.MsgspecError as exc:
             raise PeerError(f"{node.name}: {exc}") from exc
 
+    async def release(
+        self, node: NodeRecord, release: JobRelease
+    ) -> list[TextCopy]:
+        """Has a node give up a job; returns the texts that it has of it.
+
+        Raises:
+            PeerError: It did not answer.
+        """
+        body = await self.post(node, "/jobs/release", release)
+        try:
+            return msgspec.msgpack.decode(body, type=JobTexts).texts
+        except msgspec.MsgspecError as exc:
+            raise PeerError(f"{node.name}: {exc}") from exc
+
     async def post(
         self,
         node: NodeRecord,
--- a/endivespindle/runtime/peer_server.py
+++ b/endivespindle/runtime/peer_server.py
@@ -10,7 +10,9 @@
 from endivespindle.runtime.peer_calls import (
     JobAsk,
     JobNews,
+    JobRelease,
     JobReply,
+    JobTexts,
     LoadNews,
     NodeNews,
 )
@@ -48,7 +50,8 @@
         *,
         answer: Callable[[JobAsk], Awaitable[JobReply]],
         news: Callable[[JobNews], None],
-        assign: Callable[[BatchSubmission], bool],
+        assign: Callable[[BatchSubmission], Awaitable[bool]],
+        release: Callable[[JobRelease], JobTexts],
     ) -> None:
         """Takes calls about batch jobs."""
 
@@ -61,11 +64,16 @@
             return b""
 
         async def take(body: bytes) -> bytes | None:
-            return b"" if assign(_decode(body, BatchSubmission)) else None
+            taken = await assign(_decode(body, BatchSubmission))
+            return b"" if taken else None
+
+        async def give_up(body: bytes) -> bytes:
+            return msgspec.msgpack.encode(release(_decode(body, JobRelease)))
 
         self._routes["/jobs/assign"] = take
         self._routes["/jobs/ask"] = ask
         self._routes["/jobs/news"] = tell
+        self._routes["/jobs/release"] = give_up
 
     def serve_news(self, take: Callable[[NodeNews], None]) -> None:
         """Takes what gateways tell the controllers."""
--- a/endivespindle/standins/tests/test_platform_gate.py
+++ b/endivespindle/standins/tests/test_platform_gate.py
@@ -204,3 +204,20 @@
     await store.put(kind="k", name="a", value=b"", expect_version=0)
     await asyncio.wait_for(watch.wait(name="a", version=0, timeout_s=2.0), 1.0)
     task.cancel()
+
+
+def test_a_call_that_a_caller_waits_for_is_tried_soon():
+    """After a long outage a step is not refused for another 2 s."""
+    clock = ManualClock()
+    breaker = Breaker(clock=clock, rng=random.Random(1))
+    for _ in range(12):
+        breaker.failed()
+    clock.advance(0.5)
+    assert not breaker.allow()
+    assert breaker.allow(is_awaited=True)
+    assert not breaker.allow(is_awaited=True)
+    breaker.failed()
+    clock.advance(0.3)
+    assert breaker.allow(is_awaited=True)
+    breaker.succeeded()
+    assert breaker.allow()
--- a/endivespindle/store/breaker.py
+++ b/endivespindle/store/breaker.py
@@ -14,6 +14,9 @@
 _FIRST_PAUSE_S = 0.2
 _MAX_PAUSE_S = 2.0
 _MAX_DOUBLINGS = 16
+# Pause after which a call that a caller waits for may be tried all the same:
+# callers come back a few times a second.
+_AWAITED_PAUSE_S = 0.25
 
 
 class BreakerState(enum.StrEnum):
@@ -74,23 +77,44 @@
         rng: Source of the jitter.
     """
 
-    __slots__ = ("_clock", "_failures", "_retry_at_s", "_rng", "state")
+    __slots__ = (
+        "_clock",
+        "_failures",
+        "_retry_at_s",
+        "_rng",
+        "_tried_s",
+        "state",
+    )
 
     def __init__(self, *, clock: Clock, rng: random.Random):
         self._clock = clock
         self._rng = rng
         self._failures = 0
         self._retry_at_s = 0.0
+        self._tried_s = 0.0
         self.state = BreakerState.CLOSED.value
 
-    def allow(self) -> bool:
-        """Tells whether a call may be made; the caller reports on it."""
+    def allow(self, *, is_awaited: bool = False) -> bool:
+        """Tells whether a call may be made; the caller reports on it.
+
+        The load pattern answered: after an outage of some seconds the pauses
+        are at their longest, and trainers' steps would be refused for as long
+        after the platform's return.
+
+        Args:
+            is_awaited: Whether a caller waits for this very call.
+        """
         if self.state == BreakerState.CLOSED.value:
             return True
-        if self._clock.monotonic() < self._retry_at_s:
+        now_s = self._clock.monotonic()
+        at_s = self._retry_at_s
+        if is_awaited:
+            at_s = min(at_s, self._tried_s + _AWAITED_PAUSE_S)
+        if now_s < at_s:
             return False
         self._trigger("probe")
-        self._retry_at_s = self._clock.monotonic() + _MAX_PAUSE_S
+        self._tried_s = now_s
+        self._retry_at_s = now_s + _MAX_PAUSE_S
         return True
 
     def succeeded(self) -> None:
--- a/endivespindle/store/budgeted_store.py
+++ b/endivespindle/store/budgeted_store.py
@@ -44,6 +44,8 @@
         "servers",
     }
 )
+# Kinds whose objects are created while a caller waits.
+_AWAITED_KINDS = frozenset({"jobs"})
 
 
 def _urgency(kind: str) -> Urgency:
@@ -108,6 +110,7 @@
             ),
             kind=CallKind.WRITE,
             urgency=_urgency(kind),
+            is_awaited=kind in _AWAITED_KINDS,
         )
 
     async def delete(
--- a/endivespindle/store/gate.py
+++ b/endivespindle/store/gate.py
@@ -56,6 +56,7 @@
         kind: CallKind,
         urgency: Urgency = Urgency.BULK,
         may_wait: bool = True,
+        is_awaited: bool = False,
     ) -> T:
         """Makes a call when the budget allows it.
 
@@ -66,11 +67,12 @@
             urgency: Whether it may use the reserve.
             may_wait: Whether it may wait for the budget. An act under a
                 lease may not: its right was checked just before.
+            is_awaited: Whether a caller waits for this very call.
 
         Raises:
             PlatformUnavailableError: The call was not made.
         """
-        if not self._breaker.allow():
+        if not self._breaker.allow(is_awaited=is_awaited):
             self._on_call(name, "breaker_open")
             raise PlatformUnavailableError(f"{name}: the breaker is open")
         await self._wait_for_budget(name, kind, urgency, may_wait)
