--- a/endivespindle/batch/pace.py
+++ b/endivespindle/batch/pace.py
@@ -15,6 +15,9 @@
 # text so far again, and the trainer reads results twice a second.
 _SLOWER_FACTOR = 1.6
 _LEAST_GAIN_S = 0.6
+# The same for a server all of whose texts are slow: machines of a fleet differ
+# by 1.3, and a single text's pace varies by about as much.
+_SLOWER_SERVER_FACTOR = 1.2
 # Events after which a text's pace says something of its server.
 _LEAST_EVENTS = 4
 # A server that says nothing for this long within a text is lost: some dozen
@@ -59,24 +62,33 @@
 
 
 def should_move(
-    *, pace_s: float, best_s: float, done: int, rest: float
+    *,
+    pace_s: float,
+    server_pace_s: float,
+    best_s: float,
+    done: int,
+    rest: float,
 ) -> bool:
     """Tells whether a running text should go on at another server.
 
     The load pattern answered: a server turns several times slower in the
-    middle of a step, and the texts that it runs become the last ones of
-    groups whose other texts ended long ago. A text resumes after its last
-    event, so that only its prompt is read again.
+    middle of a step, or a long text began on one of the slower machines. The
+    texts that it runs become the last ones of groups whose other texts ended
+    long ago. A text resumes after its last event, so that only its prompt is
+    read again.
 
     Args:
         pace_s: Seconds for an event, as of late, where it runs.
+        server_pace_s: The same over all texts of that server.
         best_s: Seconds for an event at a sound server.
         done: Events received from this server.
         rest: Events still expected.
     """
-    if done < _LEAST_EVENTS or pace_s < _SLOWER_FACTOR * best_s:
+    if done < _LEAST_EVENTS or rest * (pace_s - best_s) < _LEAST_GAIN_S:
         return False
-    return rest * (pace_s - best_s) >= _LEAST_GAIN_S
+    if pace_s >= _SLOWER_FACTOR * best_s:
+        return True
+    return min(pace_s, server_pace_s) >= _SLOWER_SERVER_FACTOR * best_s
 
 
 def silence_limit_s(*, may_wait: bool, is_loading: bool) -> float:
--- a/endivespindle/runtime/text_runner.py
+++ b/endivespindle/runtime/text_runner.py
@@ -29,6 +29,9 @@
 _FAILED_PAUSE_S = 0.05
 # Weight of the newest gap between two events in a text's moving average.
 _PACE_SMOOTHING = 0.3
+# Events between two looks for a faster server, each of which goes through all
+# servers of the service.
+_EVENTS_PER_LOOK = 4
 _REJECTED = 422
 _SERVER_FAILED = 500
 
@@ -210,7 +213,7 @@
     ) -> bool:
         """Tells whether a text should go on at a faster server."""
         sub = job.state.submission
-        if sub.single_version:
+        if sub.single_version or pace.events % _EVENTS_PER_LOOK:
             return False
         others = [
             other
@@ -223,6 +226,7 @@
         ]
         return bool(others) and should_move(
             pace_s=pace.average_s,
+            server_pace_s=view.pace_s,
             best_s=best_pace(others),
             done=pace.events,
             rest=hint_events(job.state, state),
