--- a/endivespindle/batch/pace.py
+++ b/endivespindle/batch/pace.py
@@ -12,9 +12,9 @@
 _UNKNOWN_PACE_S = 0.04
 # A text moves only from a server that is this much slower than the best one,
 # and only if that saves this much: the other server reads the prompt and the
-# text so far again, and the trainer reads results twice a second.
+# text so far again, which with the way there takes about 0.1 s.
 _SLOWER_FACTOR = 1.6
-_LEAST_GAIN_S = 0.6
+_LEAST_GAIN_S = 0.4
 # The same for a server all of whose texts are slow: machines of a fleet differ
 # by 1.3, and a single text's pace varies by about as much.
 _SLOWER_SERVER_FACTOR = 1.2
--- a/endivespindle/runtime/text_runner.py
+++ b/endivespindle/runtime/text_runner.py
@@ -143,7 +143,7 @@
         if outcome == "whole":
             state.is_whole = True
             state.phase = ItemPhase.SCORING
-        else:
+        elif outcome != "moved":
             rest_s = self._clock.monotonic() + _FAILED_PAUSE_S
             state.not_before_s = max(state.not_before_s, rest_s)
 
