--- a/endivespindle/batch/pace.py
+++ b/endivespindle/batch/pace.py
@@ -14,7 +14,7 @@
 # and only if that saves this much: the other server reads the prompt and the
 # text so far again, which with the way there takes about 0.1 s.
 _SLOWER_FACTOR = 1.6
-_LEAST_GAIN_S = 0.4
+_LEAST_GAIN_S = 0.45
 # The same for a server all of whose texts are slow: machines of a fleet differ
 # by 1.3, and a single text's pace varies by about as much.
 _SLOWER_SERVER_FACTOR = 1.2
