--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -598,6 +598,18 @@
     _play(_whole, story)
 
 
+def _unanswered(dropped):
+    """Answers nothing, and notes when each request was dropped."""
+
+    async def silent():
+        try:
+            await asyncio.sleep(30.0)
+        finally:
+            dropped.append(asyncio.get_running_loop().time())
+
+    return lambda name, call: silent
+
+
 def test_a_request_without_an_answer_is_dropped_soon_after_the_end():
     """A cut holds a request up; another node ends the job meanwhile.
 
@@ -606,17 +618,6 @@
     """
     dropped = []
 
-    def answer(name, call):
-        del name, call
-
-        async def silent():
-            try:
-                await asyncio.sleep(30.0)
-            finally:
-                dropped.append(asyncio.get_running_loop().time())
-
-        return silent
-
     async def story(world):
         await world.submit([item("i1")])
         owner = world.owner()
@@ -628,23 +629,12 @@
         assert len(dropped) == 1
         assert dropped[0] - ended_s <= 2.9
 
-    _play(answer, story)
+    _play(_unanswered(dropped), story)
 
 
 def test_a_request_without_an_answer_is_dropped_while_the_store_is_silent():
     dropped = []
 
-    def answer(name, call):
-        del name, call
-
-        async def silent():
-            try:
-                await asyncio.sleep(30.0)
-            finally:
-                dropped.append(asyncio.get_running_loop().time())
-
-        return silent
-
     async def story(world):
         await world.submit([item("i1")])
         begun_s = asyncio.get_running_loop().time()
@@ -653,7 +643,7 @@
         assert dropped and dropped[0] - begun_s <= 2.9
         assert len(world.sent("i1")) == 1
 
-    _play(answer, story)
+    _play(_unanswered(dropped), story)
 
 
 def test_a_score_waits_for_a_node_that_knows_no_configuration_yet():
