Fill the servers of the tests on requests without an answer

The mutant fleet-holds-requests-of-ended-jobs survived since a request that no server answers is given up after 1.5 s anyway; where it may wait in a queue that is 3 s, and only the drop at 2.5 s keeps the bound.

--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -610,6 +610,14 @@
     return lambda name, call: silent
 
 
+def _fill(world):
+    """Has all servers full, so that an answer may be long in coming."""
+    for node in world.nodes:
+        for name in ("e0", "e1"):
+            view = node.directory.get(name)
+            view.saw_load(running=view.entry.slots, waiting=1)
+
+
 def test_a_request_without_an_answer_is_dropped_soon_after_the_end():
     """A cut holds a request up; another node ends the job meanwhile.
 
@@ -619,6 +627,7 @@
     dropped = []
 
     async def story(world):
+        _fill(world)
         await world.submit([item("i1")])
         owner = world.owner()
         job = owner.runner.jobs["job-1"]
@@ -636,6 +645,7 @@
     dropped = []
 
     async def story(world):
+        _fill(world)
         await world.submit([item("i1")])
         begun_s = asyncio.get_running_loop().time()
         world.store.faults.down = True
