Send nothing more to a server that announces its shutdown

Nothing in the tree read the header.

Change: the adapter decodes the header into ResponseHead, ServerReport and OrderResponse. A state table (serving/availability.py) decides what entries, responses and removals do to an incarnation; the directory remembers announced incarnations across lists without them (routing/leaving.py, the class that the product's own dispatch uses). open_attempt refuses a server that stopped accepting requests after it was chosen, which covers requests, retries, hedges, resumed streams, items and reward calls; the controller checks it before orders.

Ruled out: telling other VMs.

--- a/endivespindle/core/reasons.py
+++ b/endivespindle/core/reasons.py
@@ -101,6 +101,11 @@
         RunState.NOT_RUN,
         "The backend server could not be reached.",
     )
+    BACKEND_LEAVING = (
+        503,
+        RunState.NOT_RUN,
+        "The backend server is shutting down.",
+    )
     BACKEND_LOST = (
         502,
         RunState.UNKNOWN,
--- a/endivespindle/platform/headers.py
+++ b/endivespindle/platform/headers.py
@@ -24,6 +24,7 @@
 _SIGNATURE = "X-Server-Stamp"
 _LOAD = "X-Server-Load"
 _NOT_RUN = "X-Not-Executed"
+_LEAVING = "Server-Leaving"
 _WEIGHT_VERSION = "X-Weight-Versions"
 _REQUEST_PRIORITY = "X-Request-Priority"
 _WAIT_MS = "X-Wait-Ms"
@@ -134,6 +135,9 @@
         signature=headers.get(_SIGNATURE, ""),
         weight_version=parse_weight_version(headers.get(_WEIGHT_VERSION)),
         load=_parse_load(headers.get(_LOAD)),
+        # A response with this status comes from another server.
+        leaving=headers.get(_LEAVING, "").strip() == "1"
+        and status != _MISDIRECTED,
     )
 
 
--- a/endivespindle/platform/servers.py
+++ b/endivespindle/platform/servers.py
@@ -148,6 +148,7 @@
             orders=doc.sequence,
             busy=doc.busy,
             versions={model.name: model.version for model in doc.models},
+            leaving=resp.head.leaving,
         )
 
     async def order_version(
@@ -186,7 +187,9 @@
                 reason=Reason.BACKEND_UNREACHABLE,
             )
         return OrderResponse(
-            accepted=status in _ACCEPTED_STATUSES, busy=status == _CONFLICT
+            accepted=status in _ACCEPTED_STATUSES,
+            busy=status == _CONFLICT,
+            leaving=resp.head.leaving,
         )
 
 
--- a/endivespindle/platform/tests/test_headers.py
+++ b/endivespindle/platform/tests/test_headers.py
@@ -86,6 +86,18 @@
     assert not parse_response_head(503, CIMultiDict(), ()).not_run
 
 
+def test_response_head_reports_that_the_server_leaves():
+    headers = CIMultiDict({"Server-Leaving": "1"})
+    assert parse_response_head(200, headers, ()).leaving
+    assert parse_response_head(503, headers, ()).leaving
+    assert not parse_response_head(200, CIMultiDict(), ()).leaving
+
+
+def test_another_server_at_the_address_announces_only_its_own_shutdown():
+    headers = CIMultiDict({"Server-Leaving": "1"})
+    assert not parse_response_head(421, headers, ()).leaving
+
+
 def test_response_to_another_request_is_detected():
     assert matches_request(CIMultiDict({"X-Request-Id": "r1"}), "r1")
     assert matches_request(CIMultiDict(), "r1")
--- a/endivespindle/routing/leaving.py
+++ b/endivespindle/routing/leaving.py
@@ -6,6 +6,10 @@
 
 __all__ = ["LeavingServers"]
 
+# Marks kept: names are rarely reused, and a mark matters only as long as late
+# entries of its incarnation may arrive.
+_MAX_MARKS = 4096
+
 
 class LeavingServers:
     """Records the incarnation in which each backend server began to leave.
@@ -21,9 +25,14 @@
 
     def mark_leaving(self, server: str, *, incarnation: int) -> None:
         """Records that an incarnation of a server is leaving."""
-        self._incarnations[server] = max(
-            self._incarnations.get(server, -1), incarnation
-        )
+        known = self._incarnations.pop(server, -1)
+        self._incarnations[server] = max(known, incarnation)
+        if len(self._incarnations) > _MAX_MARKS:
+            self._incarnations.pop(next(iter(self._incarnations)))
+
+    def is_leaving(self, server: str, *, incarnation: int) -> bool:
+        """Returns whether an incarnation of a server is known to leave."""
+        return incarnation <= self._incarnations.get(server, -1)
 
     def apply_revision(self, servers: Iterable[BackendServer]) -> None:
         """Applies the servers of a register revision."""
@@ -39,5 +48,5 @@
             server
             for server in servers
             if server.state is ServerState.LIVE
-            and server.incarnation > self._incarnations.get(server.name, -1)
+            and not self.is_leaving(server.name, incarnation=server.incarnation)
         ]
--- a/endivespindle/runtime/context.py
+++ b/endivespindle/runtime/context.py
@@ -7,6 +7,7 @@
 from endivespindle.runtime.fleet_view import FleetView
 from endivespindle.runtime.settings import NodeSettings
 from endivespindle.runtime.telemetry import EventLog, NodeMetrics
+from endivespindle.serving.directory import ServerView
 
 __all__ = ["RuntimeContext"]
 
@@ -38,3 +39,14 @@
         self.metrics = NodeMetrics()
         self.fleet = FleetView(settings=settings, incarnation=ids.new("n"))
         self.log = EventLog(clock=clock, fields={"vm": settings.name})
+
+    def record_leaving_server(self, view: ServerView) -> None:
+        """Logs and counts a response that announced a server's shutdown."""
+        self.metrics.count_leaving_server(view.entry.service)
+        self.log.event(
+            "server_leaving",
+            server=view.entry.name,
+            service=view.entry.service,
+            started_ms=view.entry.started_ms,
+            in_flight=view.in_flight,
+        )
--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -181,7 +181,9 @@
         self._config = ActiveConfig(
             clock=ctx.clock, max_unconfirmed_s=float("inf")
         )
-        self._directory = ServerDirectory(clock=ctx.clock)
+        self._directory = ServerDirectory(
+            clock=ctx.clock, on_leaving=ctx.record_leaving_server
+        )
         self._newest_versions: dict[str, int] = {}
         self._required_by_node: dict[str, dict[str, int]] = {}
         self._sent_loads: dict[tuple[str, str], tuple[LoadOrder, float]] = {}
@@ -501,9 +503,13 @@
                 view.entry, timeout_s=_CALL_TIMEOUT_S
             )
             self._accepted_orders[view] = report.orders
-        if not self._lease.may_send(timeout_s=_CALL_TIMEOUT_S):
+            if report.leaving:
+                view.announce_leaving()
+        if not view.accepts_requests() or not self._lease.may_send(
+            timeout_s=_CALL_TIMEOUT_S
+        ):
             return OrderResponse(accepted=False)
-        return await self._servers.order_version(
+        response = await self._servers.order_version(
             view.entry,
             VersionOrder(
                 model=order.model,
@@ -514,6 +520,9 @@
             ),
             timeout_s=_CALL_TIMEOUT_S,
         )
+        if response.leaving:
+            view.announce_leaving()
+        return response
 
     async def _announce_load(self, order: LoadOrder) -> None:
         """Announces a load to the gateways that run jobs of its model."""
--- a/endivespindle/runtime/forwarding.py
+++ b/endivespindle/runtime/forwarding.py
@@ -75,7 +75,9 @@
     timeout_s: float | None,
     head_timeout_s: float | None = None,
 ) -> AsyncIterator[ServerResponse]:
-    """Sends a request and records load, duration and failure of its server.
+    """Sends a request and records what its response tells of the server.
+
+    A server that left after it was chosen gets no request.
 
     Args:
         api: Client for backend servers.
@@ -86,8 +88,15 @@
         head_timeout_s: Timeout until the response head is received, in seconds.
 
     Raises:
-        BackendServerError: The server did not respond, or timed out.
+        BackendServerError: The server did not respond, timed out, or no longer
+            accepts requests.
     """
+    if not view.accepts_requests():
+        raise BackendServerError(
+            f"the server is {view.availability.value}",
+            ran=RunState.NOT_RUN,
+            reason=Reason.BACKEND_LEAVING,
+        )
     start_s = clock.monotonic()
     view.begin_request()
     failed = False
@@ -105,6 +114,8 @@
                     ran=RunState.UNKNOWN,
                     reason=Reason.BACKEND_SILENT,
                 ) from exc
+            if response.head.leaving:
+                view.announce_leaving()
             if response.head.load is not None:
                 view.record_load(
                     running=response.head.load.running,
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -119,7 +119,9 @@
         self._config = ActiveConfig(
             clock=clock, max_unconfirmed_s=self._max_unconfirmed_s()
         )
-        self._directory = ServerDirectory(clock=clock)
+        self._directory = ServerDirectory(
+            clock=clock, on_leaving=parts.record_leaving_server
+        )
         self._usage = UsageCounter(
             clock=clock,
             window_s=settings.timing.usage_window_s,
--- a/endivespindle/runtime/telemetry.py
+++ b/endivespindle/runtime/telemetry.py
@@ -160,7 +160,7 @@
 class NodeMetrics(Metrics):
     """Counters of a node, and a histogram of request latencies."""
 
-    __slots__ = ("_latency",)
+    __slots__ = ("_latency", "_leaving_servers")
 
     def __init__(self) -> None:
         super().__init__()
@@ -170,6 +170,14 @@
             registry=self.registry,
             buckets=_LATENCY_BUCKETS,
         )
+        self._leaving_servers = self._make_counter(
+            "leaving_servers_total",
+            "Backend servers whose responses announced their shutdown.",
+        )
+
+    def count_leaving_server(self, service: str) -> None:
+        """Counts a server whose response announced its shutdown."""
+        self._leaving_servers.inc({"service": service})
 
     def observe_latency(
         self, *, route: str, outcome: str, seconds: float
--- a/endivespindle/serving/calls.py
+++ b/endivespindle/serving/calls.py
@@ -77,6 +77,7 @@
         weight_version: Weight version at the start of the response, if
             reported.
         load: Reported load, if any.
+        leaving: Whether the server announces its shutdown.
     """
 
     status: int
@@ -85,6 +86,7 @@
     signature: str
     weight_version: int | None = None
     load: ServerLoad | None = None
+    leaving: bool = False
 
 
 class StreamEvent(msgspec.Struct, kw_only=True, frozen=True):
@@ -153,10 +155,12 @@
     Attributes:
         accepted: Whether the order is already fulfilled or in progress.
         busy: Whether another order is in progress.
+        leaving: Whether the server announces its shutdown.
     """
 
     accepted: bool
     busy: bool = False
+    leaving: bool = False
 
 
 class ServerReport(msgspec.Struct, kw_only=True, frozen=True):
@@ -166,11 +170,13 @@
         orders: Number of orders accepted since its start.
         busy: Whether an order is in progress.
         versions: Weight version by model.
+        leaving: Whether the server announces its shutdown.
     """
 
     orders: int
     busy: bool
     versions: dict[str, int]
+    leaving: bool = False
 
 
 class ServerApi(abc.ABC):
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -1,11 +1,17 @@
 """Backend servers known to one VM, with their observed state."""
 
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import msgspec
 
 from endivespindle.core.clock import Clock
+from endivespindle.routing.leaving import LeavingServers
+from endivespindle.serving.availability import (
+    Availability,
+    AvailabilityEvent,
+    next_availability,
+)
 
 __all__ = ["ServerDirectory", "ServerEntry", "ServerView"]
 
@@ -66,8 +72,15 @@
 class ServerView:
     """One backend server and its state as observed by this VM.
 
+    Args:
+        entry: Its registered entry.
+        clock: Clock of this VM.
+        on_leaving: Called when a response first announces its shutdown.
+        is_leaving: Whether a response announced its shutdown before.
+
     Attributes:
         entry: Its registered entry.
+        availability: Whether it accepts new requests.
         in_flight: Number of this VM's requests at the server.
         versions: Weight version by model, by the newest update from any
             source.
@@ -84,10 +97,12 @@
         "_consecutive_failures",
         "_last_used_s",
         "_model_paused_until_s",
+        "_on_leaving",
         "_other_load",
         "_other_load_seen_s",
         "_paused_until_s",
         "_peer_loads",
+        "availability",
         "duration_s",
         "entry",
         "event_interval_s",
@@ -96,8 +111,16 @@
         "versions",
     )
 
-    def __init__(self, *, entry: ServerEntry, clock: Clock):
+    def __init__(
+        self,
+        *,
+        entry: ServerEntry,
+        clock: Clock,
+        on_leaving: Callable[["ServerView"], None],
+        is_leaving: bool = False,
+    ):
         self._clock = clock
+        self._on_leaving = on_leaving
         self._consecutive_failures = 0
         self._model_paused_until_s: dict[str, float] = {}
         self._other_load = 0.0
@@ -111,14 +134,34 @@
         self.failure_rate = 0.0
         self.duration_s = 0.0
         self.event_interval_s = 0.0
+        self.availability = (
+            Availability.LEAVING if is_leaving else Availability.READY
+        )
+        self._apply_entry_state()
 
     def update(self, entry: ServerEntry) -> None:
         """Applies a newer entry of the same incarnation."""
         self.entry = entry
+        self._apply_entry_state()
         for model, version in entry.versions.items():
             # Entries lag behind responses, and versions only rise.
             self.versions[model] = max(version, self.versions.get(model, 0))
 
+    def accepts_requests(self) -> bool:
+        """Returns whether new requests may be sent to the server."""
+        return self.availability is Availability.READY
+
+    def announce_leaving(self) -> None:
+        """Records that a response announced the server's shutdown."""
+        before = self.availability
+        self._apply(AvailabilityEvent.RESPONSE_LEAVING)
+        if before is not self.availability:
+            self._on_leaving(self)
+
+    def mark_removed(self) -> None:
+        """Records that the server was removed from the list of servers."""
+        self._apply(AvailabilityEvent.REMOVED)
+
     def record_version(self, model: str, version: int) -> None:
         """Records the weight version that generated a response."""
         self.versions[model] = version
@@ -214,18 +257,37 @@
         by_peers = sum(self._peer_loads.values())
         return self.in_flight + max(reported, by_peers)
 
+    def _apply_entry_state(self) -> None:
+        self._apply(
+            AvailabilityEvent.ENTRY_DRAINING
+            if self.entry.draining
+            else AvailabilityEvent.ENTRY_READY
+        )
+
+    def _apply(self, event: AvailabilityEvent) -> None:
+        self.availability = next_availability(self.availability, event)
+
 
 class ServerDirectory:
     """Backend servers by name, updated as the platform's list changes.
 
     Args:
         clock: Clock of this VM.
+        on_leaving: Called when a response first announces the shutdown of a
+            server.
     """
 
-    __slots__ = ("_by_service", "_clock", "_views")
+    __slots__ = ("_by_service", "_clock", "_leaving", "_on_leaving", "_views")
 
-    def __init__(self, *, clock: Clock):
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        on_leaving: Callable[[ServerView], None] | None = None,
+    ):
         self._clock = clock
+        self._on_leaving = on_leaving
+        self._leaving = LeavingServers()
         self._views: dict[str, ServerView] = {}
         self._by_service: dict[str, dict[str, ServerView]] = {}
 
@@ -243,7 +305,8 @@
         """Adds or updates a server.
 
         An entry of an earlier incarnation is ignored; a new incarnation starts
-        without observed state.
+        without observed state. An incarnation whose response announced its
+        shutdown remains leaving, also if it was removed and listed again.
         """
         view = self._views.get(entry.name)
         if view is not None and view.entry.started_ms > entry.started_ms:
@@ -256,7 +319,14 @@
             view.update(entry)
             return view
         self.remove(entry.name)
-        view = ServerView(entry=entry, clock=self._clock)
+        view = ServerView(
+            entry=entry,
+            clock=self._clock,
+            on_leaving=self._record_leaving,
+            is_leaving=self._leaving.is_leaving(
+                entry.name, incarnation=entry.started_ms
+            ),
+        )
         self._views[entry.name] = view
         self._by_service.setdefault(entry.service, {})[entry.name] = view
         return view
@@ -265,9 +335,17 @@
         """Removes a server."""
         view = self._views.pop(name, None)
         if view is not None:
+            view.mark_removed()
             self._by_service[view.entry.service].pop(name, None)
 
     def available_servers(self, service: str) -> list[ServerView]:
         """Returns the servers of a service that accept new requests."""
         views = self._by_service.get(service, {}).values()
-        return [view for view in views if not view.entry.draining]
+        return [view for view in views if view.accepts_requests()]
+
+    def _record_leaving(self, view: ServerView) -> None:
+        self._leaving.mark_leaving(
+            view.entry.name, incarnation=view.entry.started_ms
+        )
+        if self._on_leaving is not None:
+            self._on_leaving(view)
--- a/endivespindle/serving/tests/test_directory.py
+++ b/endivespindle/serving/tests/test_directory.py
@@ -16,6 +16,55 @@
     assert directory.available_servers("plain") == []
 
 
+def test_announced_shutdown_outlives_an_older_entry():
+    """The store's entry says ready for seconds after the response."""
+    announced = []
+    directory = ServerDirectory(
+        clock=ManualClock(), on_leaving=announced.append
+    )
+    view = directory.put(server("s1"))
+    view.announce_leaving()
+    view.announce_leaving()
+    directory.put(server("s1", versions={"m": 2}))
+    assert directory.available_servers("plain") == []
+    assert announced == [view]
+
+
+def test_announced_shutdown_outlives_a_list_without_the_server():
+    """Entries that lapsed in an outage of the store come back."""
+    directory = ServerDirectory(clock=ManualClock())
+    directory.put(server("s1")).announce_leaving()
+    directory.remove("s1")
+    directory.put(server("s1"))
+    assert directory.available_servers("plain") == []
+
+
+def test_new_incarnation_of_a_server_that_left_is_used():
+    directory = ServerDirectory(clock=ManualClock())
+    directory.put(server("s1")).announce_leaving()
+    new = directory.put(server("s1", started_ms=2))
+    assert directory.available_servers("plain") == [new]
+
+
+def test_entry_withdraws_only_the_shutdown_that_an_entry_announced():
+    directory = ServerDirectory(clock=ManualClock())
+    view = directory.put(server("s1", draining=True))
+    directory.put(server("s1"))
+    assert view.accepts_requests()
+    directory.put(server("s1", draining=True))
+    view.announce_leaving()
+    directory.put(server("s1"))
+    assert not view.accepts_requests()
+
+
+def test_removed_server_that_was_chosen_before_accepts_nothing():
+    directory = ServerDirectory(clock=ManualClock())
+    view = directory.put(server("s1"))
+    directory.remove("s1")
+    assert not view.accepts_requests()
+    assert directory.put(server("s1")).accepts_requests()
+
+
 def test_new_incarnation_starts_without_observed_state():
     directory = ServerDirectory(clock=ManualClock())
     old = directory.put(server("s1", versions={"m": 7}))
--- a/endivespindle/standins/users_server.py
+++ b/endivespindle/standins/users_server.py
@@ -21,6 +21,7 @@
         lose_answers: Coming requests that run while their answer is lost.
         other_id: Coming answers that name another request.
         event_s: Seconds for each event.
+        leaving: Announces its shutdown in every answer.
     """
 
     __slots__ = (
@@ -28,6 +29,7 @@
         "event_s",
         "failures",
         "full",
+        "leaving",
         "lose_answers",
         "other_id",
     )
@@ -39,6 +41,7 @@
         self.lose_answers = 0
         self.other_id = 0
         self.event_s = _EVENT_S
+        self.leaving = False
 
 
 class UsersServerStandin:
@@ -77,6 +80,7 @@
     async def start(self) -> None:
         """Begins to listen on a free port of this machine."""
         app = web.Application()
+        app.on_response_prepare.append(self._announce)
         app.router.add_post("/order", self._order)
         app.router.add_get("/report", self._report)
         app.router.add_route("*", "/{path:.*}", self._run)
@@ -110,6 +114,13 @@
             "sequence": 0,
         }
 
+    async def _announce(
+        self, request: web.Request, resp: web.StreamResponse
+    ) -> None:
+        del request
+        if self.faults.leaving:
+            resp.headers["Server-Leaving"] = "1"
+
     async def _run(self, request: web.Request) -> web.StreamResponse:
         if request.headers.get("X-Expect-Instance") != self.name:
             return web.Response(status=421)
--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -50,6 +50,7 @@
         not_run: Whether the server did not run the request.
         pause_s: Seconds before each event.
         signature: Signature of the answer.
+        leaving: Whether the server announces its shutdown.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         not_run=False,
         pause_s=0.01,
         signature="sig",
+        leaving=False,
     ):
         self.head = ResponseHead(
             status=status,
@@ -69,6 +71,7 @@
             not_run=not_run,
             signature=signature,
             weight_version=version,
+            leaving=leaving,
         )
         self._body = body
         self._events = events
--- a/tests/test_node_on_platform.py
+++ b/tests/test_node_on_platform.py
@@ -298,3 +298,36 @@
         assert b"settings" in err
 
     asyncio.run(run())
+
+
+def test_a_server_that_announces_its_shutdown_gets_no_new_work(tmp_path):
+    """Its entry in the store still says ready."""
+
+    async def story(fleet):
+        leaving = fleet.plain[0]
+        leaving.faults.leaving = True
+        for number in range(30):
+            status, _, _ = await fleet.call(
+                "g1", "POST", "/orders/7", **{"X-Request-Id": f"r{number}"}
+            )
+            assert status == 200
+        assert len(leaving.runs) <= 1
+        engine = fleet.engines[0]
+        engine.faults.leaving = True
+        assert await _submit(fleet, "g1", "j1", items=16) == 202
+
+        async def done():
+            return len(await _results(fleet, "g1", "j1")) == 16
+
+        await fleet.until(done)
+        # Items sent before the first answer may still run there.
+        first_runs = len(engine.runs)
+        assert await _submit(fleet, "g1", "j2", items=16) == 202
+
+        async def second_done():
+            return len(await _results(fleet, "g1", "j2")) == 16
+
+        await fleet.until(second_done)
+        assert len(engine.runs) == first_runs
+
+    _play(tmp_path, story)
