Log the numbers of platform calls of each node

Cause: on the grown and large sites calls to the store lead the prices, and no log tells which node makes which calls. One line every 10 s while there are any.

--- a/endivespindle/runtime/node.py
+++ b/endivespindle/runtime/node.py
@@ -1,6 +1,7 @@
 """Runs one node, from its start to SIGTERM."""
 
 import asyncio
+import collections
 import random
 import signal
 from collections.abc import Coroutine
@@ -40,6 +41,8 @@
 # Share of the store's rate limits available to one node: a few nodes make most
 # of the calls, and none may starve the others.
 _NODE_RATE_SHARE = 0.1
+# Interval between two log lines with the numbers of platform calls.
+_CALL_SUMMARY_INTERVAL_S = 10.0
 
 
 async def run_node(settings: NodeSettings) -> None:
@@ -80,6 +83,7 @@
         "_controller",
         "_ctx",
         "_gateway",
+        "_limiter",
         "_peer_server",
         "_sessions",
         "_store",
@@ -91,22 +95,22 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._sessions: list[aiohttp.ClientSession] = [open_node_session()]
         settings = ctx.settings
+        self._limiter = CallLimiter(
+            rate_limiter=CallRateLimiter(
+                clock=ctx.clock,
+                reads_per_s=settings.limits.reads_per_s * _NODE_RATE_SHARE,
+                writes_per_s=settings.limits.writes_per_s * _NODE_RATE_SHARE,
+            ),
+            breaker=CircuitBreaker(clock=ctx.clock, rng=ctx.rng),
+            on_call=ctx.metrics.count_platform_call,
+        )
         self._store = RateLimitedStatusStore(
             store=PlatformObjectStore(
                 session=self._sessions[0],
                 base_url=f"http://{settings.store}",
                 timeout_s=_STORE_TIMEOUT_S,
             ),
-            limiter=CallLimiter(
-                rate_limiter=CallRateLimiter(
-                    clock=ctx.clock,
-                    reads_per_s=settings.limits.reads_per_s * _NODE_RATE_SHARE,
-                    writes_per_s=settings.limits.writes_per_s
-                    * _NODE_RATE_SHARE,
-                ),
-                breaker=CircuitBreaker(clock=ctx.clock, rng=ctx.rng),
-                on_call=ctx.metrics.count_platform_call,
-            ),
+            limiter=self._limiter,
         )
         self._peer_server = PeerServer(
             host=settings.host, port=settings.peer_port, metrics=ctx.metrics
@@ -137,6 +141,7 @@
         if self._controller is not None:
             self._spawn(self._controller.run())
         self._spawn(self._register())
+        self._spawn(self._log_platform_calls())
 
     async def stop(self) -> None:
         """Stops all components."""
@@ -168,5 +173,20 @@
             else:
                 return
 
+    async def _log_platform_calls(self) -> None:
+        """Logs the numbers of platform calls by name, while there are any."""
+        logged: collections.Counter[str] = collections.Counter()
+        while True:
+            await asyncio.sleep(_CALL_SUMMARY_INTERVAL_S)
+            total = self._limiter.calls_by_name.copy()
+            recent = total - logged
+            logged = total
+            if recent:
+                self._ctx.log.event(
+                    "platform_calls",
+                    seconds=_CALL_SUMMARY_INTERVAL_S,
+                    calls=dict(recent),
+                )
+
     def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(coro))
