Confirm keys up to their bound, and follow relays of other data centres

The limit was 0.6 of the revocation bound, and the configuration was already 2 to 2.8 s old when the outage began: the holder's watch waits 1.1 s, and its relays follow it. Beside it, a gateway whose relay cannot reach the store watched the store itself, three kinds at a time: with the holder turned away, or the store down, that is every gateway of the fleet.

Change: keyed requests are permitted while the confirmation is younger than the bound less 0.8 s, checked again with the key before each attempt (plain, retried, hedged, resumed). The holder's watch of the configuration waits a tenth of the bound. serving/relay_selection.py decides whom a VM follows: its own relay, then those of other data centres in an order that differs between VMs, and the store once in 2 s if no relay reaches it. A relay says in its reply that it cannot reach the store, with the true age, instead of replying nothing; its watchers wait there for its return.

Ruled out: refreshing keys more often by each gateway (a call each); longer limits than the bound (a withdrawn key must not run after it).

--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -64,6 +64,7 @@
 from endivespindle.serving.active_config import ActiveConfig
 from endivespindle.serving.calls import OrderResponse, VersionOrder
 from endivespindle.serving.directory import ServerDirectory, ServerView
+from endivespindle.serving.relay_selection import RelaySelector
 from endivespindle.store.object_store import StatusStore, StoredObject
 from endivespindle.store.stored_lease import StoredLease
 from endivespindle.store.update import read_object
@@ -83,12 +84,11 @@
 # Wait of a watch of the kinds that only the lease holder watches; they change
 # rarely.
 _WATCH_WAIT_S = 10.0
-# Wait of a watch of the configuration, as a share of the bound on revoked keys.
-# The gateways' configuration is older by as much again, and its age must stay
-# under 0.6 of the bound.
-_CONFIG_WAIT_SHARE = 0.22
+# Wait of a watch of the configuration, as a share of the bound on revoked keys:
+# an outage of the store begins with keys confirmed at most twice this ago.
+_CONFIG_WAIT_SHARE = 0.1
 # The cached state is as old as two watches just before the second one ends. If
-# it is older by more than this, gateways have to read from the store.
+# it is older by more than this, gateways look for another relay.
 _CACHE_AGE_MARGIN_S = 0.5
 # Wait of a watch of the backend servers.
 _SERVER_WATCH_WAIT_S = 3.0
@@ -245,13 +245,22 @@
         """Returns watchers of the kinds that are relayed to gateways.
 
         The lease holder watches the store. The other controllers watch the
-        holder, or the store while it does not reply.
+        holder, or the store while the holder does not reply or cannot reach
+        it.
         """
+        ctx = self._ctx
         relayed = RelayedStore(
             store=self._store,
             peers=self._peers,
-            relay=self._lease_holder,
-            clock=self._ctx.clock,
+            relays=self._lease_holder,
+            selector=RelaySelector(
+                vm=ctx.settings.name,
+                data_centre=ctx.settings.data_centre,
+                clock=ctx.clock,
+                rng=ctx.rng,
+                probe_interval_s=0.0,
+            ),
+            clock=ctx.clock,
             on_relay_failure=lambda name, error: self._ctx.log.event(
                 "relay_shunned", relay=name, error=error
             ),
@@ -275,13 +284,13 @@
             make_node_watcher(self._ctx, self._store, self._caches[NODE_KIND]),
         ]
 
-    def _lease_holder(self) -> NodeRecord | None:
+    def _lease_holder(self) -> list[NodeRecord]:
         """Returns the node that holds the lease, if it is another node."""
         name = self._lease.holder
         if name == self._ctx.settings.name:
-            return None
+            return []
         peers = self._ctx.fleet.peers(NodeRole.CONTROLLER)
-        return next((node for node in peers if node.name == name), None)
+        return [node for node in peers if node.name == name]
 
     def _config_wait_s(self) -> float:
         return self._ctx.settings.timing.revoke_s * _CONFIG_WAIT_SHARE
@@ -290,10 +299,17 @@
         self, req: RelayRequest
     ) -> RelayReply | None:
         cache = self._caches.get(req.kind)
-        reply = await cache.handle_request(req) if cache is not None else None
+        if cache is None:
+            return None
         # The configuration is read most often, so its age is the first sign
         # that this node cannot reach the store.
-        return reply if self._caches[CONFIG_KIND].is_fresh() else None
+        config = self._caches[CONFIG_KIND]
+        if not (config.is_fresh() or req.wait_if_stale):
+            req.wait_s = 0.0
+        reply = await cache.handle_request(req)
+        if reply is not None and not config.is_fresh():
+            reply.stale = True
+        return reply
 
     def _apply_gateway_update(self, update: GatewayUpdate) -> None:
         self._usage.record(update.counts)
--- a/endivespindle/runtime/forwarding.py
+++ b/endivespindle/runtime/forwarding.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import msgspec
 
@@ -48,6 +48,7 @@
         target_latency_s: Latency in seconds up to which a response has its full
             value.
         deadline_s: Monotonic time at which the request is abandoned.
+        may_send: Returns whether an attempt may start now.
     """
 
     service: str
@@ -55,6 +56,7 @@
     max_attempts: int
     target_latency_s: float
     deadline_s: float
+    may_send: Callable[[], bool] = lambda: True
 
 
 class ForwardedResponse(msgspec.Struct, kw_only=True, frozen=True):
@@ -266,6 +268,9 @@
             and not self._budget.try_withdraw()
         ):
             return False
+        if not plan.may_send():
+            attempts.last_reason = Reason.KEY_UNCONFIRMED
+            return False
         view = self.choose_server(plan.service, attempts.tried_servers)
         if view is None:
             return False
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -36,17 +36,20 @@
 from endivespindle.runtime.usage_counter import UsageCounter
 from endivespindle.serving.active_config import ActiveConfig
 from endivespindle.serving.directory import ServerDirectory
+from endivespindle.serving.relay_selection import RelaySelector
 from endivespindle.store.object_store import ObjectStore
 
 __all__ = ["Gateway"]
 
 # Requests with tenant keys are refused once the configuration has been
-# unconfirmed for this fraction of the key revocation bound. From the same
-# fraction on, the users' rules no longer require them to be served.
-_CONFIG_FRESH_FRACTION = 0.6
-# Wait of one configuration watch as a fraction of the maximum unconfirmed age:
-# the next watch must be answered before that age is reached.
-_CONFIG_WAIT_FRACTION = 0.45
+# unconfirmed for the key revocation bound less this margin: an attempt may take
+# 0.6 s to connect to its server, and clocks drift.
+_KEY_MARGIN_S = 0.8
+# Lower limit of that time, as a fraction of the bound.
+_MIN_KEY_FRACTION = 0.6
+# Wait of one configuration watch as a fraction of the key revocation bound: the
+# next watch must be answered before requests with keys are refused.
+_CONFIG_WAIT_FRACTION = 0.27
 # Probes detect a dead connection of the server watch, so that its wait only
 # bounds how long a lost event of the store goes unnoticed.
 _SERVER_WATCH_WAIT_S = 5.0
@@ -56,6 +59,10 @@
 # Time for which a starting node waits to learn of its relay before it lists
 # from the store directly, as all nodes of a fleet may start at once.
 _RELAY_DISCOVERY_TIMEOUT_S = 1.0
+# Interval at which a gateway reads the store itself although its relays cannot
+# reach it. The store may turn relays away and serve others, but while it is
+# down every gateway of the fleet makes these calls.
+_STORE_PROBE_INTERVAL_S = 2.0
 # Interval at which changed counts are sent to the controllers, and the longest
 # interval between two updates without a change.
 _UPDATE_INTERVAL_S = 0.25
@@ -95,6 +102,7 @@
         "_jobs",
         "_peers",
         "_ready_runner",
+        "_relay_selector",
         "_runner",
         "_sessions",
         "_store",
@@ -122,6 +130,13 @@
         self._directory = ServerDirectory(
             clock=clock, on_leaving=parts.record_leaving_server
         )
+        self._relay_selector = RelaySelector(
+            vm=settings.name,
+            data_centre=settings.data_centre,
+            clock=clock,
+            rng=parts.rng,
+            probe_interval_s=_STORE_PROBE_INTERVAL_S,
+        )
         self._usage = UsageCounter(
             clock=clock,
             window_s=settings.timing.usage_window_s,
@@ -203,7 +218,7 @@
             ValueError: The settings lack a listening address.
         """
         ctx = self._ctx
-        config_wait_s = self._max_unconfirmed_s() * _CONFIG_WAIT_FRACTION
+        config_wait_s = ctx.settings.timing.revoke_s * _CONFIG_WAIT_FRACTION
         relayed_store = self._relayed_store(
             wait_for_relay_s=_RELAY_DISCOVERY_TIMEOUT_S
         )
@@ -251,23 +266,18 @@
             settings.readiness,
         )
 
-    def _local_controller(self) -> NodeRecord | None:
-        """Returns a controller of this data centre, if one is known."""
-        data_centre = self._ctx.settings.data_centre
-        nodes = self._ctx.fleet.peers(NodeRole.CONTROLLER)
-        return next((n for n in nodes if n.data_centre == data_centre), None)
-
     def _relayed_store(
         self,
         *,
         max_wait_s: float = MAX_RELAY_WAIT_S,
         wait_for_relay_s: float = 0.0,
     ) -> RelayedStore:
-        """Returns a store that lists and watches through the local relay."""
+        """Returns a store that lists and watches through the controllers."""
         return RelayedStore(
             store=self._store,
             peers=self._peers,
-            relay=self._local_controller,
+            relays=lambda: self._ctx.fleet.peers(NodeRole.CONTROLLER),
+            selector=self._relay_selector,
             clock=self._ctx.clock,
             on_relay_failure=lambda name, error: self._ctx.log.event(
                 "relay_shunned", relay=name, error=error
@@ -299,8 +309,8 @@
             await session.close()
 
     def _max_unconfirmed_s(self) -> float:
-        timing = self._ctx.settings.timing
-        return timing.revoke_s * _CONFIG_FRESH_FRACTION
+        revoke_s = self._ctx.settings.timing.revoke_s
+        return max(revoke_s * _MIN_KEY_FRACTION, revoke_s - _KEY_MARGIN_S)
 
     async def _handle_readiness(self, request: web.BaseRequest) -> web.Response:
         del request
--- a/endivespindle/runtime/ingress.py
+++ b/endivespindle/runtime/ingress.py
@@ -1,6 +1,7 @@
 """HTTP handler for the requests of callers."""
 
 import asyncio
+import functools
 import math
 import random
 from collections.abc import Awaitable, Callable
@@ -255,6 +256,11 @@
             max_attempts=max(1, route.max_attempts),
             target_latency_s=route.target_latency_s,
             deadline_s=permitted.start_s + timeout_s - _RESPONSE_MARGIN_S,
+            may_send=functools.partial(
+                self._config.may_send,
+                permitted.permit,
+                permitted.metadata.key,
+            ),
         )
         return call, plan
 
--- a/endivespindle/runtime/relay.py
+++ b/endivespindle/runtime/relay.py
@@ -1,16 +1,17 @@
 """Relays one store watch per data centre to the gateways there.
 
 A controller watches a kind in the store and caches its objects. The gateways
-of its data centre watch the controller as they would watch the store, and
-fall back to the store while the controller does not reply. The number of
-store calls thus grows with the data centres, not with the nodes.
+of its data centre watch the controller as they would watch the store. While it
+does not reply or cannot reach the store, they watch the controllers of other
+data centres, and read the store only if none of them can serve them. The
+number of store calls thus grows with the data centres, not with the nodes.
 """
 
 import asyncio
 import collections
 import contextlib
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -18,6 +19,7 @@
 from endivespindle.exceptions import PeerError
 from endivespindle.runtime.fleet_view import NodeRecord
 from endivespindle.runtime.peer_client import PeerClient
+from endivespindle.serving.relay_selection import RelaySelector
 from endivespindle.store.object_store import (
     ObjectList,
     ObjectStore,
@@ -41,8 +43,6 @@
 MAX_RELAY_WAIT_S = 0.6
 # Time beyond the requested wait after which a relay counts as unresponsive.
 _REPLY_MARGIN_S = 0.3
-# Time after a relay's failure for which the store is read directly.
-_RELAY_RETRY_S = 3.0
 # Interval between checks for a relay that is not known yet.
 _RELAY_POLL_S = 0.1
 
@@ -55,11 +55,14 @@
         after: Store version after which changes are requested; negative to
             request all objects.
         wait_s: Longest wait for a change, in seconds.
+        wait_if_stale: Whether to wait as well if the relay cannot reach the
+            store, instead of replying at once.
     """
 
     kind: str
     after: int
     wait_s: float
+    wait_if_stale: bool = False
 
 
 class RelayReply(msgspec.Struct, kw_only=True):
@@ -72,12 +75,14 @@
         lag_s: Seconds from the time the relay sent its last answered read of
             the store to the arrival of this request; negative if the read was
             sent later.
+        stale: Whether the relay cannot reach the store at present.
     """
 
     version: int
     objects: list[StoredObject]
     lost: bool = False
     lag_s: float = 0.0
+    stale: bool = False
 
 
 class WatchCache:
@@ -85,8 +90,8 @@
 
     Args:
         clock: Clock of this VM.
-        max_age_s: Age of the last answered store read beyond which requests
-            are not served.
+        max_age_s: Age of the last answered store read beyond which replies
+            are marked as stale.
     """
 
     __slots__ = (
@@ -149,14 +154,17 @@
     async def handle_request(self, req: RelayRequest) -> RelayReply | None:
         """Serves a watcher's request, waiting for a change if necessary.
 
+        A stale cache replies without waiting unless the request allows it.
+
         Returns:
-            The reply, or None while the store is unreachable.
+            The reply, or None before the first read of the store.
         """
         arrived_s = self._clock.monotonic()
-        if req.after >= 0 and self._version <= req.after:
+        may_wait = req.wait_if_stale or self.is_fresh()
+        if may_wait and req.after >= 0 and self._version <= req.after:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._updated.wait(), req.wait_s)
-        if not self.is_fresh():
+        if self._version < 0:
             return None
         lost = 0 <= req.after < self._history_start
         if req.after < 0:
@@ -168,18 +176,20 @@
             objects=[] if lost else objects,
             lost=lost,
             lag_s=arrived_s - self._confirmed_s,
+            stale=not self.is_fresh(),
         )
 
 
 class RelayedStore(ObjectStore):
-    """Sends lists and watches to a relay if there is one, else to the store.
+    """Sends lists and watches to relays if there are any, else to the store.
 
     All other operations go to the store.
 
     Args:
         store: The object API.
         peers: Client for calls to other nodes.
-        relay: Returns the node to watch, or None for the store itself.
+        relays: Returns the nodes that relay watches; none for the store.
+        selector: Orders the relays and limits reads of the store.
         clock: Clock of this VM.
         on_relay_failure: Called with the relay's name and the error when a
             relay does not reply.
@@ -190,11 +200,11 @@
 
     __slots__ = (
         "_clock",
-        "_failed_until_s",
-        "_find_relay",
+        "_find_relays",
         "_max_wait_s",
         "_on_relay_failure",
         "_peers",
+        "_selector",
         "_store",
         "_wait_for_relay_s",
     )
@@ -204,7 +214,8 @@
         *,
         store: ObjectStore,
         peers: PeerClient,
-        relay: Callable[[], NodeRecord | None],
+        relays: Callable[[], Sequence[NodeRecord]],
+        selector: RelaySelector,
         clock: Clock,
         on_relay_failure: Callable[[str, str], None],
         max_wait_s: float = MAX_RELAY_WAIT_S,
@@ -212,12 +223,12 @@
     ):
         self._store = store
         self._peers = peers
-        self._find_relay = relay
+        self._find_relays = relays
+        self._selector = selector
         self._clock = clock
         self._on_relay_failure = on_relay_failure
         self._max_wait_s = max_wait_s
         self._wait_for_relay_s = wait_for_relay_s
-        self._failed_until_s: dict[str, float] = {}
 
     async def get(self, *, kind: str, name: str) -> StoredObject | None:
         """Returns an object, or None if there is none."""
@@ -242,47 +253,90 @@
     async def list_objects(self, *, kind: str, prefix: str = "") -> ObjectList:
         """Returns the objects of a kind whose names start with a prefix."""
         remaining_s, self._wait_for_relay_s = self._wait_for_relay_s, 0.0
-        while remaining_s > 0 and self._usable_relay() is None:
+        while remaining_s > 0 and not self._usable_relays():
             await asyncio.sleep(_RELAY_POLL_S)
             remaining_s -= _RELAY_POLL_S
-        relay = self._usable_relay()
-        if relay is not None:
-            req = RelayRequest(kind=kind, after=-1, wait_s=_REPLY_MARGIN_S)
-            try:
-                events = await self._request(relay, req)
-            except PeerError as exc:
-                self._mark_failed(relay, exc)
-            else:
-                objects = [
-                    o for o in events.objects if o.name.startswith(prefix)
-                ]
-                return ObjectList(
-                    version=events.version,
-                    objects=objects,
-                    lag_s=events.lag_s,
-                )
-        return await self._store.list_objects(kind=kind, prefix=prefix)
+        relays = self._usable_relays()
+        reply = await self._ask_relays(relays, kind, after=-1, wait_s=0.0)
+        if reply is None:
+            listed = await self._store.list_objects(kind=kind, prefix=prefix)
+            self._record_store_reached(relays)
+            return listed
+        return ObjectList(
+            version=reply.version,
+            objects=[o for o in reply.objects if o.name.startswith(prefix)],
+            lag_s=reply.lag_s,
+        )
 
     async def watch(
         self, *, kind: str, after: int, wait_s: float
     ) -> WatchEvents:
         """Waits for changes of a kind after a version."""
-        relay = self._usable_relay()
-        if relay is not None:
+        relays = self._usable_relays()
+        reply = await self._ask_relays(
+            relays, kind, after=after, wait_s=min(wait_s, self._max_wait_s)
+        )
+        if reply is None:
+            # After relays failed, the last state may be old: do not wait.
+            events = await self._store.watch(
+                kind=kind, after=after, wait_s=0.0 if relays else wait_s
+            )
+            self._record_store_reached(relays)
+            return events
+        return WatchEvents(
+            version=reply.version,
+            objects=reply.objects,
+            lost=reply.lost,
+            lag_s=reply.lag_s,
+        )
+
+    def _record_store_reached(self, relays: Sequence[NodeRecord]) -> None:
+        if any(self._selector.is_stale(node.name) for node in relays):
+            self._selector.record_store_reached()
+
+    async def _ask_relays(
+        self,
+        relays: Sequence[NodeRecord],
+        kind: str,
+        *,
+        after: int,
+        wait_s: float,
+    ) -> RelayReply | None:
+        """Returns the reply of the first relay that reaches the store.
+
+        If no relay does, the least old of their replies is returned.
+
+        Returns:
+            The reply; None if the store is to be read instead.
+        """
+        best: RelayReply | None = None
+        for relay in relays:
             req = RelayRequest(
-                kind=kind, after=after, wait_s=min(wait_s, self._max_wait_s)
+                kind=kind,
+                after=after,
+                wait_s=wait_s,
+                wait_if_stale=self._selector.is_stale(relay.name),
             )
             try:
-                return await self._request(relay, req)
+                reply = await self._request(relay, req)
             except PeerError as exc:
-                self._mark_failed(relay, exc)
-                # The relay's last state may be old: read without waiting.
+                self._selector.record_failure(relay.name)
+                self._on_relay_failure(relay.name, str(exc))
                 wait_s = 0.0
-        return await self._store.watch(kind=kind, after=after, wait_s=wait_s)
+                continue
+            if not reply.stale:
+                self._selector.record_reply(relay.name)
+                return reply
+            self._selector.record_stale(relay.name)
+            if best is None or reply.lag_s < best.lag_s:
+                best = reply
+        if best is None or self._selector.may_probe_store():
+            return None
+        return best
 
     async def _request(
         self, relay: NodeRecord, req: RelayRequest
-    ) -> WatchEvents:
+    ) -> RelayReply:
         body = await self._peers.post(
             relay, "/relay", req, timeout_s=req.wait_s + _REPLY_MARGIN_S
         )
@@ -291,28 +345,13 @@
         except msgspec.MsgspecError as exc:
             raise PeerError(f"{relay.name}: {exc}") from exc
         if reply is None:
-            raise PeerError(f"{relay.name}: cannot reach the store")
-        return WatchEvents(
-            version=reply.version,
-            objects=reply.objects,
-            lost=reply.lost,
-            lag_s=reply.lag_s,
-        )
-
-    def _mark_failed(self, relay: NodeRecord, exc: PeerError) -> None:
-        self._failed_until_s[relay.name] = (
-            self._clock.monotonic() + _RELAY_RETRY_S
-        )
-        self._on_relay_failure(relay.name, str(exc))
-
-    def _usable_relay(self) -> NodeRecord | None:
-        """Returns the relay, unless it failed recently."""
-        relay = self._find_relay()
-        if relay is None:
-            return None
-        now_s = self._clock.monotonic()
-        return (
-            relay
-            if self._failed_until_s.get(relay.name, 0.0) <= now_s
-            else None
+            raise PeerError(f"{relay.name}: has not read the store yet")
+        return reply
+
+    def _usable_relays(self) -> list[NodeRecord]:
+        """Returns the relays to ask, in this order."""
+        by_name = {node.name: node for node in self._find_relays()}
+        names = self._selector.candidates(
+            {name: node.data_centre for name, node in by_name.items()}
         )
+        return [by_name[name] for name in names]
--- a/endivespindle/runtime/streaming.py
+++ b/endivespindle/runtime/streaming.py
@@ -139,6 +139,10 @@
         on_start: Callable[[], None],
     ) -> web.StreamResponse | None:
         """Runs one attempt; returns None if another one is needed."""
+        if not plan.may_send():
+            progress.not_run_count = _MAX_NOT_RUN_ATTEMPTS
+            progress.last_reason = Reason.KEY_UNCONFIRMED
+            return None
         view = self._forwarder.choose_server(
             plan.service, progress.tried_servers
         )
--- a/endivespindle/serving/active_config.py
+++ b/endivespindle/serving/active_config.py
@@ -169,6 +169,25 @@
             version=self.version,
         )
 
+    def may_send(self, permit: Permit, key: str) -> bool:
+        """Returns whether a permitted request may be sent to a server now.
+
+        Checked before each attempt: the request may have waited since it was
+        permitted, and its key may have been withdrawn meanwhile.
+
+        Args:
+            permit: Permission of the request.
+            key: Tenant key of the request.
+        """
+        if not permit.client_account:
+            return True
+        account = self._accounts.get(key)
+        return (
+            self.is_fresh()
+            and account is not None
+            and account.name == permit.client_account
+        )
+
     def account(self, key: str) -> AccountEntry:
         """Returns the client account of a tenant key.
 
--- a/endivespindle/serving/tests/test_active_config.py
+++ b/endivespindle/serving/tests/test_active_config.py
@@ -78,3 +78,42 @@
     clock.advance(60.0)
     permit = active.permit(host="app.example", path="/orders/1", key="")
     assert permit.client_account == ""
+
+
+def test_an_attempt_starts_only_while_its_key_is_confirmed():
+    """A request waited for a retry while the VM was cut off."""
+    clock = ManualClock()
+    active = _active_config(clock)
+    permit = active.permit(host="app.example", path="/orders/1", key="k1")
+    clock.advance(3.0)
+    assert active.may_send(permit, "k1")
+    clock.advance(0.01)
+    assert not active.may_send(permit, "k1")
+
+
+def test_an_attempt_does_not_start_once_its_key_was_withdrawn():
+    clock = ManualClock()
+    active = _active_config(clock)
+    permit = active.permit(host="app.example", path="/orders/1", key="k1")
+    active.apply_if_newer(
+        config(version=2, accounts=(AccountEntry(name="acme", keys=("k2",)),))
+    )
+    assert not active.may_send(permit, "k1")
+
+
+def test_an_attempt_does_not_start_for_the_key_of_another_account():
+    clock = ManualClock()
+    active = _active_config(clock)
+    permit = active.permit(host="app.example", path="/orders/1", key="k1")
+    active.apply_if_newer(
+        config(version=2, accounts=(AccountEntry(name="b", keys=("k1",)),))
+    )
+    assert not active.may_send(permit, "k1")
+
+
+def test_an_attempt_on_an_anonymous_route_needs_no_key():
+    clock = ManualClock()
+    active = _active_config(clock, routes=(route(anonymous=True),))
+    permit = active.permit(host="app.example", path="/orders/1", key="")
+    clock.advance(60.0)
+    assert active.may_send(permit, "")
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import RefusedError
 from endivespindle.runtime.forwarding import Forwarder, ForwardPlan
 from endivespindle.runtime.telemetry import EventLog, NodeMetrics
@@ -134,3 +135,15 @@
 def test_without_servers_the_refusal_is_immediate():
     outcome, _, took_s = _forward(lambda *_: None, servers=0)
     assert (outcome.ran, took_s) == (RunState.NOT_RUN, 0)
+
+
+def test_no_attempt_follows_once_the_key_is_not_confirmed():
+    """The first attempt did not run; the key is withdrawn meanwhile."""
+    allowed = iter([True, False])
+    outcome, sent, _ = _forward(
+        lambda *_: NOT_RUN, may_send=lambda: next(allowed)
+    )
+    assert isinstance(outcome, RefusedError)
+    assert outcome.ran is RunState.NOT_RUN
+    assert outcome.reason is Reason.KEY_UNCONFIRMED
+    assert len(sent) == 1
