Call the store through a controller while it turns a gateway away

The gateway that owns a job could not commit either.

Change: runtime/store_proxy.py. Reads and writes of job objects go to the store and, after 0.4 s of silence or a refusal, to a controller that says it reaches the store; controllers come first for 3 s after that. The more careful of two failures is reported. A creation that conflicts with itself counts as created.

Ruled out: a longer wait at the caller, other gateways (none in the data centre), handing over only submissions (design/platform.md).

--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -61,6 +61,12 @@
     make_node_watcher,
     make_server_watcher,
 )
+from endivespindle.runtime.store_proxy import (
+    StoreOperation,
+    StoreReply,
+    StoreStatus,
+    serve_store_operation,
+)
 from endivespindle.serving.active_config import ActiveConfig
 from endivespindle.serving.calls import OrderResponse, VersionOrder
 from endivespindle.serving.directory import ServerDirectory, ServerView
@@ -210,6 +216,7 @@
         }
         peer_server.serve_gateway_updates(self._apply_gateway_update)
         peer_server.serve_relay(self._handle_relay_request)
+        peer_server.serve_store(self._handle_store_operation)
 
     async def run(self) -> None:
         """Relays watches, keeps the lease, and runs duties while it is held."""
@@ -311,6 +318,22 @@
             reply.stale = True
         return reply
 
+    async def _handle_store_operation(self, op: StoreOperation) -> StoreReply:
+        """Carries out an operation for a gateway that the store turns away."""
+        if not self._caches[CONFIG_KIND].is_fresh():
+            return StoreReply(
+                status=StoreStatus.NOT_DONE, error="cannot reach the store"
+            )
+        reply = await serve_store_operation(self._store, op)
+        self._ctx.log.event(
+            "store_call_relayed",
+            method=op.method.value,
+            kind=op.kind,
+            name=op.name,
+            outcome=reply.status.value,
+        )
+        return reply
+
     def _apply_gateway_update(self, update: GatewayUpdate) -> None:
         self._usage.record(update.counts)
         self._required_by_node[update.counts.node] = update.required
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -32,6 +32,7 @@
     make_node_watcher,
     make_server_watcher,
 )
+from endivespindle.runtime.store_proxy import ProxiedStore
 from endivespindle.runtime.streaming import StreamRelay
 from endivespindle.runtime.usage_counter import UsageCounter
 from endivespindle.serving.active_config import ActiveConfig
@@ -160,7 +161,9 @@
             metrics=parts.metrics,
         )
         job_store = JobStore(
-            store=store, ids=parts.ids, value_bytes=settings.limits.value_bytes
+            store=self._proxied_store(),
+            ids=parts.ids,
+            value_bytes=settings.limits.value_bytes,
         )
         owner_id = parts.fleet.local_node.owner_id
         self._runner = JobRunner(
@@ -286,6 +289,22 @@
             wait_for_relay_s=wait_for_relay_s,
         )
 
+    def _proxied_store(self) -> ProxiedStore:
+        """Returns a store that controllers reach if this VM does not."""
+
+        def log_switch(error: str) -> None:
+            event = "store_proxy_used" if error else "store_proxy_unused"
+            self._ctx.log.state_change(event, error=error)
+
+        return ProxiedStore(
+            store=self._store,
+            peers=self._peers,
+            relays=lambda: self._ctx.fleet.peers(NodeRole.CONTROLLER),
+            selector=self._relay_selector,
+            clock=self._ctx.clock,
+            on_switch=log_switch,
+        )
+
     async def stop(self) -> None:
         """Drains: refuses new jobs, hands over open ones, finishes requests."""
         self._ingress.is_draining = True
--- a/endivespindle/runtime/job_store.py
+++ b/endivespindle/runtime/job_store.py
@@ -112,13 +112,33 @@
                 expect_version=0,
             )
         except ConflictError:
-            return CreateOutcome.EXISTED
+            return await self._resolve_conflict(record)
         except AnswerLostError:
             return CreateOutcome.UNKNOWN
         except PlatformError:
             return CreateOutcome.REFUSED
         return CreateOutcome.CREATED
 
+    async def _resolve_conflict(self, record: _JobRecord) -> CreateOutcome:
+        """Returns whether this node or an earlier attempt created a job.
+
+        The creation may have been sent on two paths to the store.
+        """
+        try:
+            stored, _ = await read_object(
+                self._store,
+                kind=_JOB_KIND,
+                name=record.submission.job_id,
+                cls=_JobRecord,
+            )
+        except PlatformError:
+            return CreateOutcome.EXISTED
+        is_own = stored is not None and (
+            stored.submission.first_owner,
+            stored.submission.submitted_ms,
+        ) == (record.submission.first_owner, record.submission.submitted_ms)
+        return CreateOutcome.CREATED if is_own else CreateOutcome.EXISTED
+
     async def load(self, job_id: str) -> StoredJob | None:
         """Returns a job, or None if there is none.
 
--- a/endivespindle/runtime/peer_server.py
+++ b/endivespindle/runtime/peer_server.py
@@ -17,6 +17,7 @@
     WeightLoadUpdate,
 )
 from endivespindle.runtime.relay import RelayReply, RelayRequest
+from endivespindle.runtime.store_proxy import StoreOperation, StoreReply
 from endivespindle.runtime.telemetry import NodeMetrics
 
 __all__ = ["PeerServer"]
@@ -118,6 +119,18 @@
 
         self._handlers["/relay"] = handle_watch
 
+    def serve_store(
+        self, carry_out: Callable[[StoreOperation], Awaitable[StoreReply]]
+    ) -> None:
+        """Registers the handler of operations on the store for other nodes."""
+
+        async def handle_operation(body: bytes) -> bytes:
+            return msgspec.msgpack.encode(
+                await carry_out(_decode(body, StoreOperation))
+            )
+
+        self._handlers["/store"] = handle_operation
+
     async def start(self, *, metrics_port: int) -> None:
         """Starts listening."""
         server = web.Server(self._handle, access_log=None)
