Hedge by the latency of the route, and avoid servers that were outrun

The silent server was never marked, as its attempt was cancelled, and was chosen again by the next request.

A server that a later attempt has outrun is paused like one that failed; a cancelled attempt no longer resets its count of failures.

Ruled out: slow second servers (the hedge was answered 6 ms after it was sent).

--- a/endivespindle/runtime/forwarding.py
+++ b/endivespindle/runtime/forwarding.py
@@ -21,6 +21,7 @@
     ServerResponse,
 )
 from endivespindle.serving.directory import ServerDirectory, ServerView
+from endivespindle.serving.hedging import LatencyEstimate, hedge_delay_s
 from endivespindle.serving.placement import place_request
 from endivespindle.serving.retry_after import retry_after_s
 
@@ -28,10 +29,6 @@
 
 # Retries and hedges allowed per request: they add at most a tenth to the load.
 _RETRY_BUDGET_FRACTION = 0.1
-# A request is hedged once its first attempt has taken this multiple of the
-# server's average duration, but not before this fraction of the target latency.
-_HEDGE_DURATION_FACTOR = 4.0
-_HEDGE_LATENCY_FRACTION = 0.6
 _STATUS_SERVER_ERROR = 500
 # Maximum number of attempts that report at once that the request was not run.
 _MAX_NOT_RUN_ATTEMPTS = 4
@@ -41,6 +38,7 @@
     """How a request may be forwarded.
 
     Attributes:
+        route: Route of the request.
         service: Service that runs it.
         may_repeat: Whether the request is idempotent, so that running it twice
             does no harm.
@@ -51,6 +49,7 @@
         may_send: Returns whether an attempt may start now.
     """
 
+    route: str
     service: str
     may_repeat: bool
     max_attempts: int
@@ -143,10 +142,14 @@
         "not_run_count",
         "run_state",
         "sent_count",
+        "started_views",
         "tried_servers",
     )
 
     def __init__(self) -> None:
+        self.started_views: dict[
+            asyncio.Task[ForwardedResponse], ServerView
+        ] = {}
         self.tried_servers: set[str] = set()
         self.sent_count = 0
         self.not_run_count = 0
@@ -174,6 +177,7 @@
         "_clock",
         "_data_centre",
         "_directory",
+        "_latencies",
         "_log",
         "_metrics",
         "_rng",
@@ -198,6 +202,7 @@
         self._log = log
         self._metrics = metrics
         self._budget = RetryBudget(fraction=_RETRY_BUDGET_FRACTION)
+        self._latencies: dict[str, LatencyEstimate] = {}
 
     def choose_server(self, service: str, tried: set[str]) -> ServerView | None:
         """Returns the server for the next attempt, or None."""
@@ -219,6 +224,7 @@
         self._budget.deposit()
         attempts = _AttemptSummary()
         pending: set[asyncio.Task[ForwardedResponse]] = set()
+        start_s = self._clock.monotonic()
         try:
             while True:
                 remaining_s = plan.deadline_s - self._clock.monotonic()
@@ -228,9 +234,7 @@
                     call, plan, attempts, pending
                 ):
                     return self._final_failure(plan, attempts)
-                wait_s = min(
-                    remaining_s, self._hedge_delay_s(plan, attempts, pending)
-                )
+                wait_s = min(remaining_s, self._hedge_delay_s(plan, pending))
                 done, pending = await asyncio.wait(
                     pending,
                     timeout=wait_s,
@@ -241,6 +245,10 @@
                 for task in done:
                     response = self._process_result(task, plan, attempts)
                     if response is not None:
+                        self._record_latency(
+                            plan, self._clock.monotonic() - start_s
+                        )
+                        _record_outrun(attempts, winner=task, pending=pending)
                         return response
         finally:
             for task in pending:
@@ -276,9 +284,9 @@
             return False
         attempts.tried_servers.add(view.entry.name)
         attempts.sent_count += 1
-        pending.add(
-            asyncio.create_task(self._attempt(view, call, plan.deadline_s))
-        )
+        task = asyncio.create_task(self._attempt(view, call, plan.deadline_s))
+        attempts.started_views[task] = view
+        pending.add(task)
         return True
 
     async def _attempt(
@@ -339,23 +347,25 @@
     def _hedge_delay_s(
         self,
         plan: ForwardPlan,
-        attempts: _AttemptSummary,
         pending: set[asyncio.Task[ForwardedResponse]],
     ) -> float:
         """Returns the delay in seconds after which the request is hedged."""
         if not plan.may_repeat or len(pending) > 1 or plan.max_attempts < 2:
             return float("inf")
-        usual_duration_s = 0.0
-        for name in attempts.tried_servers:
-            view = self._directory.get(name)
-            usual_duration_s = max(
-                usual_duration_s, view.duration_s if view else 0.0
-            )
-        return max(
-            _HEDGE_LATENCY_FRACTION * plan.target_latency_s,
-            _HEDGE_DURATION_FACTOR * usual_duration_s,
+        return hedge_delay_s(
+            self._latencies.get(plan.route, LatencyEstimate()),
+            target_latency_s=plan.target_latency_s,
         )
 
+    def _record_latency(self, plan: ForwardPlan, latency_s: float) -> None:
+        """Records the latency of a request, at most its target latency.
+
+        A longer one tells that its server was unresponsive, and nothing of
+        what the route usually takes.
+        """
+        estimate = self._latencies.setdefault(plan.route, LatencyEstimate())
+        estimate.record(min(latency_s, plan.target_latency_s))
+
     def _final_failure(
         self, plan: ForwardPlan, attempts: _AttemptSummary
     ) -> ForwardedResponse:
@@ -398,3 +408,17 @@
                 self._directory.available_servers(plan.service), rng=self._rng
             ),
         )
+
+
+def _record_outrun(
+    attempts: _AttemptSummary,
+    *,
+    winner: asyncio.Task[ForwardedResponse],
+    pending: set[asyncio.Task[ForwardedResponse]],
+) -> None:
+    """Records the servers that a later attempt has outrun."""
+    for task, view in attempts.started_views.items():
+        if task is winner:
+            return
+        if task in pending:
+            view.record_silence()
--- a/endivespindle/runtime/ingress.py
+++ b/endivespindle/runtime/ingress.py
@@ -251,6 +251,7 @@
             may_repeat=route.kind is RouteKind.IDEMPOTENT,
         )
         plan = ForwardPlan(
+            route=route.name,
             service=self._config.choose_service(route, self._rng),
             may_repeat=call.may_repeat,
             max_attempts=max(1, route.max_attempts),
--- a/endivespindle/runtime/reward_calls.py
+++ b/endivespindle/runtime/reward_calls.py
@@ -137,6 +137,7 @@
             body=reward.body,
         )
         plan = ForwardPlan(
+            route=route.name,
             service=self._config.choose_service(route, self._rng),
             may_repeat=True,
             max_attempts=1,
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -185,9 +185,16 @@
         if duration_s is not None:
             known = self.duration_s or duration_s
             self.duration_s = known + _SMOOTHING * (duration_s - known)
-        if not failed:
+        if failed:
+            self._back_off()
+        elif duration_s is not None:
             self._consecutive_failures = 0
-            return
+
+    def record_silence(self) -> None:
+        """Records that a later attempt at another server responded first."""
+        self._back_off()
+
+    def _back_off(self) -> None:
         self._consecutive_failures += 1
         doublings = min(self._consecutive_failures - 1, _MAX_DOUBLINGS)
         self.pause(min(_MAX_PAUSE_S, _FIRST_PAUSE_S * 2**doublings))
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -47,6 +47,7 @@
             may_repeat=may_repeat,
         )
         fields = {
+            "route": "orders",
             "service": "plain",
             "may_repeat": may_repeat,
             "max_attempts": 3,
@@ -147,3 +148,58 @@
     assert outcome.ran is RunState.NOT_RUN
     assert outcome.reason is Reason.KEY_UNCONFIRMED
     assert len(sent) == 1
+
+
+def test_a_server_that_was_outrun_is_avoided():
+    """A data centre is cut off; its server accepts requests and is silent."""
+
+    async def silent():
+        await asyncio.sleep(60)
+
+    def answer(name, call):
+        del call
+        return silent if name == "s0" else ScriptedAnswer(body=b"yes")
+
+    async def run():
+        clock = LoopClock(loop=asyncio.get_running_loop())
+        directory = ServerDirectory(clock=clock)
+        for number in range(3):
+            directory.put(server(f"s{number}"))
+        api = ScriptedServers(answer, delay_s=0.04)
+        forwarder = Forwarder(
+            api=api,
+            directory=directory,
+            clock=clock,
+            rng=random.Random(3),
+            data_centre="a",
+            log=EventLog(clock=clock, fields={}),
+            metrics=NodeMetrics(),
+        )
+        call = ServerCall(
+            request_id="r1",
+            method="POST",
+            target="/orders/1",
+            host="app.example",
+            headers=(),
+            body=b"",
+        )
+        took = []
+        for _ in range(30):
+            start_s = clock.monotonic()
+            plan = ForwardPlan(
+                route="orders",
+                service="plain",
+                may_repeat=True,
+                max_attempts=3,
+                target_latency_s=0.192,
+                deadline_s=start_s + 1.5,
+            )
+            await forwarder.forward(call, plan)
+            took.append(clock.monotonic() - start_s)
+            await asyncio.sleep(0.1)
+        return took, [name for name, _ in api.sent].count("s0")
+
+    took, silent_sends = run_virtual(run())
+    assert max(took) <= 0.192
+    # Within 3 s: at first, and after pauses of 0.25, 0.5, 1 and 2 s.
+    assert silent_sends <= 5
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -50,6 +50,7 @@
 
     async def forward(self):
         plan = ForwardPlan(
+            route="orders",
             service="plain",
             may_repeat=True,
             max_attempts=3,
