Generate texts while it is unknown whether their job was created

A step accepted 4 to 5 s after its first offer cannot be whole at its due time of 7.5 s. Creations whose answers are reset are unknown, not refused.

Change: the node that would own such a job generates its texts meanwhile (JobRunner.prepare), up to its due time; scoring and listing wait until the job is known to be created, by adoption, assignment or take-over. A connection to a server for a plain request must be up within 0.35 of the target latency, so that two unreachable servers leave time for a third.

Ruled out: the same for creations that are refused for certain: 503 promises that nothing runs.

--- a/endivespindle/platform/servers.py
+++ b/endivespindle/platform/servers.py
@@ -106,7 +106,7 @@
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(
                     total=timeout_s,
-                    sock_connect=_CONNECT_TIMEOUT_S,
+                    sock_connect=call.connect_timeout_s or _CONNECT_TIMEOUT_S,
                     sock_read=_SILENCE_TIMEOUT_S,
                 ),
                 trace_request_ctx=ConnectionCount(),
--- a/endivespindle/runtime/forwarding.py
+++ b/endivespindle/runtime/forwarding.py
@@ -30,6 +30,11 @@
 # Retries and hedges allowed per request: they add at most a tenth to the load.
 _RETRY_BUDGET_FRACTION = 0.1
 _STATUS_SERVER_ERROR = 500
+# Time for a server to accept a connection, as a fraction of the target latency,
+# and its bounds: two unreachable servers leave time for a third.
+_CONNECT_TARGET_FRACTION = 0.35
+_MIN_CONNECT_TIMEOUT_S = 0.05
+_MAX_CONNECT_TIMEOUT_S = 0.6
 # Maximum number of attempts that report at once that the request was not run.
 _MAX_NOT_RUN_ATTEMPTS = 4
 
@@ -284,16 +289,24 @@
             return False
         attempts.tried_servers.add(view.entry.name)
         attempts.sent_count += 1
-        task = asyncio.create_task(self._attempt(view, call, plan.deadline_s))
+        task = asyncio.create_task(self._attempt(view, call, plan))
         attempts.started_views[task] = view
         pending.add(task)
         return True
 
     async def _attempt(
-        self, view: ServerView, call: ServerCall, deadline_s: float
+        self, view: ServerView, call: ServerCall, plan: ForwardPlan
     ) -> ForwardedResponse:
-        remaining_s = max(0.001, deadline_s - self._clock.monotonic())
-        call = msgspec.structs.replace(call, deadline_s=remaining_s)
+        remaining_s = max(0.001, plan.deadline_s - self._clock.monotonic())
+        connect_timeout_s = _CONNECT_TARGET_FRACTION * plan.target_latency_s
+        call = msgspec.structs.replace(
+            call,
+            deadline_s=remaining_s,
+            connect_timeout_s=min(
+                _MAX_CONNECT_TIMEOUT_S,
+                max(_MIN_CONNECT_TIMEOUT_S, connect_timeout_s),
+            ),
+        )
         async with open_attempt(
             self._api, view, call, clock=self._clock, timeout_s=remaining_s
         ) as response:
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -209,6 +209,7 @@
         peer_server.serve_jobs(
             answer=self._jobs.answer_as_owner,
             on_owner_update=self._jobs.apply_owner_update,
+            prepare=self._jobs.accept_preparation,
             assign=self._jobs.accept_assignment,
             release=self._jobs.release,
         )
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -84,6 +84,7 @@
         "_log",
         "_lost_states",
         "_partial_completions",
+        "_provisional",
         "_rewards",
         "_rng",
         "_store",
@@ -132,6 +133,7 @@
             log=log,
         )
         self._lost_states: dict[str, JobState] = {}
+        self._provisional: dict[str, OwnedJob] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
         self._partial_completions = PartialCompletionCache(clock=clock)
@@ -182,6 +184,49 @@
         Returns:
             The job as run here.
         """
+        job = self._adopt_provisional(stored, asked_s=asked_s)
+        if job is None:
+            job = self._open_job(stored, asked_s=asked_s, snapshots=snapshots)
+        self.jobs[job.job_id] = job
+        if job.is_open:
+            self._spawn(self._flush_results(job))
+            self._spawn(self._cancel_unconfirmed_requests(job))
+        self.wake()
+        return job
+
+    def prepare(self, stored: StoredJob) -> None:
+        """Generates the completions of a job whose creation is unknown.
+
+        Load pattern: the store is down for seconds while steps arrive, and
+        their texts take most of the time until they are due. Nothing is scored
+        or listed before the job is known to be created. Generation stops when
+        the results would be late anyway.
+
+        Args:
+            stored: The job as submitted.
+        """
+        job_id = stored.submission.job_id
+        if job_id in self.jobs or job_id in self._provisional:
+            return
+        now_s = self._clock.monotonic()
+        job = self._open_job(stored, asked_s=now_s)
+        job.provisional_until_s = now_s + stored.submission.due_s
+        self._provisional[job_id] = job
+        self._log.event(
+            "job_prepared",
+            job_id=job_id,
+            items=len(stored.submission.items),
+            step=stored.submission.step,
+        )
+        self.wake()
+
+    def _open_job(
+        self,
+        stored: StoredJob,
+        *,
+        asked_s: float,
+        snapshots: Sequence[ItemSnapshot] = (),
+    ) -> OwnedJob:
         job = OwnedJob(
             stored=stored,
             confirmed_s=asked_s,
@@ -193,13 +238,40 @@
             self._log.event(
                 "completions_restored", job_id=job.job_id, texts=restored
             )
-        self.jobs[job.job_id] = job
-        if job.is_open:
-            self._spawn(self._flush_results(job))
-            self._spawn(self._cancel_unconfirmed_requests(job))
-        self.wake()
         return job
 
+    def _adopt_provisional(
+        self, stored: StoredJob, *, asked_s: float
+    ) -> OwnedJob | None:
+        """Returns the prepared job with a new identity in the store.
+
+        Returns:
+            The job; None if none was prepared, or if it ran elsewhere, in which
+            case the completions generated here are kept for it.
+        """
+        job = self._provisional.pop(stored.submission.job_id, None)
+        if job is None:
+            return None
+        if stored.version or stored.results or stored.progress.ended:
+            self._drop_provisional(job)
+            return None
+        job.adopt(stored, confirmed_s=asked_s)
+        return job
+
+    def _drop_provisional(self, job: OwnedJob) -> None:
+        """Stops a prepared job; its completions are kept for a while."""
+        job.is_lost = True
+        job.cancel_tasks()
+        self._partial_completions.store(job.state)
+        self._log.event("job_not_confirmed", job_id=job.job_id)
+
+    def _drop_expired_provisional(self) -> None:
+        now_s = self._clock.monotonic()
+        for job_id, job in list(self._provisional.items()):
+            if (job.provisional_until_s or 0.0) <= now_s:
+                del self._provisional[job_id]
+                self._drop_provisional(job)
+
     async def run(self) -> None:
         """Places items on backend servers until cancelled."""
         while True:
@@ -239,6 +311,8 @@
         Returns:
             Whether ownership was confirmed recently enough.
         """
+        if job.provisional_until_s is not None:
+            return self._clock.monotonic() < job.provisional_until_s
         if job.state.is_complete and not job.is_lost:
             return True
         if self._confirmation_age_s(job) <= max_age_s:
@@ -307,6 +381,10 @@
                 return []
             self._handle_lost_job(job, owner_id)
         state = self._lost_states.pop(job_id, None)
+        prepared = self._provisional.pop(job_id, None)
+        if prepared is not None:
+            self._drop_provisional(prepared)
+            state = state or prepared.state
         return snapshot_items(state) if state is not None else []
 
     def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
@@ -332,7 +410,12 @@
         Returns:
             Whether items are left waiting.
         """
-        open_jobs = [job for job in self.jobs.values() if job.is_open]
+        self._drop_expired_provisional()
+        open_jobs = [
+            job
+            for job in (*self.jobs.values(), *self._provisional.values())
+            if job.is_open
+        ]
         by_id = {job.job_id: job for job in open_jobs}
         now_s = self._clock.monotonic()
         for job in open_jobs:
@@ -342,7 +425,11 @@
                     job.terminate_item(state, reason="max_wait", log=self._log)
         for job in open_jobs:
             for state in job.state.waiting():
-                if state.is_generated and state.not_before_s <= now_s:
+                if (
+                    state.is_generated
+                    and state.not_before_s <= now_s
+                    and not job.is_provisional
+                ):
                     state.phase = ItemPhase.SCORING
                     job.spawn(self._score_generated_item(job, state))
         services = {job.state.submission.service for job in open_jobs}
@@ -389,7 +476,7 @@
                 # The confirmation found the job ended or its record changed.
                 return
             await self._completions.run(job, state, view)
-            if state.phase is ItemPhase.SCORING:
+            if state.phase is ItemPhase.SCORING and not job.is_provisional:
                 await self._rewards.score(job, state)
         finally:
             if state.phase in (ItemPhase.GENERATING, ItemPhase.SCORING):
--- a/endivespindle/runtime/job_service.py
+++ b/endivespindle/runtime/job_service.py
@@ -138,6 +138,7 @@
         )
         outcome = await self._store.create(submission)
         if outcome is CreateOutcome.UNKNOWN:
+            self._spawn(self._prepare(submission, owner))
             outcome = await self._resolve_creation(submission)
         self._log.event(
             "job_submitted",
@@ -158,6 +159,11 @@
         if outcome is CreateOutcome.CREATED:
             self._start_job(submission, owner, asked_s)
 
+    def accept_preparation(self, submission: BatchSubmission) -> None:
+        """Generates the completions of a job whose creation is unknown."""
+        if not self.draining:
+            self._runner.prepare(_new_job(submission))
+
     async def accept_assignment(self, submission: BatchSubmission) -> bool:
         """Starts running a job that another node assigned to this one.
 
@@ -304,6 +310,17 @@
             if peer.owner_id != owner.owner_id:
                 self._spawn(self._send_owner_update(peer, update))
 
+    async def _prepare(
+        self, submission: BatchSubmission, owner: NodeRecord
+    ) -> None:
+        """Lets a job's owner generate before the job is known to be created."""
+        if owner.owner_id == self._runner.owner_id:
+            self.accept_preparation(submission)
+            return
+        with contextlib.suppress(PeerError):
+            # Without it, generation starts once the job is created.
+            await self._peers.post(owner, "/jobs/prepare", submission)
+
     async def _assign(
         self, submission: BatchSubmission, owner: NodeRecord
     ) -> None:
--- a/endivespindle/runtime/owned_job.py
+++ b/endivespindle/runtime/owned_job.py
@@ -38,6 +38,9 @@
             ends, or another node takes it over.
         flush_needed: Set when there are results to commit.
         is_lost: Whether another node took the job over.
+        provisional_until_s: Monotonic time until which completions may be
+            generated although the job's creation is unknown; None once the job
+            is known to be created.
         lock: Serializes reads and writes of the progress record.
         tasks: Tasks that run items of the job.
         unanswered_tasks: Those of them whose request has no response yet.
@@ -51,6 +54,7 @@
         "is_lost",
         "lock",
         "progress",
+        "provisional_until_s",
         "state",
         "tasks",
         "unanswered_tasks",
@@ -73,6 +77,7 @@
         self.flush_needed = asyncio.Event()
         self.lock = asyncio.Lock()
         self.is_lost = False
+        self.provisional_until_s: float | None = None
         self.unanswered_tasks: set[asyncio.Task[None]] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -91,6 +96,24 @@
         """Whether items may still be run on this node."""
         return not self.is_lost and self.is_unfinished
 
+    @property
+    def is_provisional(self) -> bool:
+        """Whether it is unknown if the job was created."""
+        return self.provisional_until_s is not None
+
+    def adopt(self, stored: StoredJob, *, confirmed_s: float) -> None:
+        """Turns a provisional job into one that was created.
+
+        Args:
+            stored: The job as created; nothing is committed yet.
+            confirmed_s: Monotonic time at which the creation was sent.
+        """
+        self.state.submission = stored.submission
+        self.progress = stored.progress
+        self.version = stored.version
+        self.confirmed_s = confirmed_s
+        self.provisional_until_s = None
+
     def min_age_s(self, clock: Clock) -> float:
         """Returns a lower bound of the job's age, in seconds.
 
--- a/endivespindle/runtime/peer_server.py
+++ b/endivespindle/runtime/peer_server.py
@@ -53,6 +53,7 @@
         *,
         answer: Callable[[JobRequest], Awaitable[JobReply]],
         on_owner_update: Callable[[JobOwnerUpdate], None],
+        prepare: Callable[[BatchSubmission], None],
         assign: Callable[[BatchSubmission], Awaitable[bool]],
         release: Callable[[JobRelease], ItemSnapshots],
     ) -> None:
@@ -61,6 +62,7 @@
         Args:
             answer: Returns the reply to a job request.
             on_owner_update: Records the owner of a job.
+            prepare: Generates for a job whose creation is unknown.
             assign: Starts a job; returns whether this node runs it.
             release: Releases a job and returns its item snapshots.
         """
@@ -73,6 +75,10 @@
             on_owner_update(_decode(body, JobOwnerUpdate))
             return b""
 
+        async def handle_prepare(body: bytes) -> bytes:
+            prepare(_decode(body, BatchSubmission))
+            return b""
+
         async def handle_assign(body: bytes) -> bytes | None:
             is_accepted = await assign(_decode(body, BatchSubmission))
             return b"" if is_accepted else None
@@ -81,6 +87,7 @@
             return msgspec.msgpack.encode(release(_decode(body, JobRelease)))
 
         self._handlers["/jobs/assign"] = handle_assign
+        self._handlers["/jobs/prepare"] = handle_prepare
         self._handlers["/jobs/ask"] = handle_request
         self._handlers["/jobs/news"] = handle_owner_update
         self._handlers["/jobs/release"] = handle_release
--- a/endivespindle/serving/calls.py
+++ b/endivespindle/serving/calls.py
@@ -38,6 +38,8 @@
         urgency: Priority among the server's requests, 0 is the highest; None
             leaves it to the server.
         may_repeat: Whether the request may safely run twice.
+        connect_timeout_s: Seconds within which a connection must be accepted;
+            None for the client's own limit.
     """
 
     request_id: str
@@ -51,6 +53,7 @@
     last_event_id: str | None = None
     urgency: int | None = None
     may_repeat: bool = True
+    connect_timeout_s: float | None = None
 
 
 class ServerLoad(msgspec.Struct, kw_only=True, frozen=True):
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -9,6 +9,7 @@
 from endivespindle.batch.progress import ItemOutcome, JobProgress
 from endivespindle.batch.tests.jobs import item, submission
 from endivespindle.exceptions import (
+    AnswerLostError,
     PeerError,
     PlatformUnavailableError,
     RefusedError,
@@ -22,6 +23,7 @@
     JobReplyStatus,
     JobRequest,
 )
+from endivespindle.schema.generated.caller import RunState
 from endivespindle.serving.active_config import ActiveConfig
 from endivespindle.serving.directory import ServerDirectory
 from endivespindle.serving.tests.configs import config, server
@@ -63,6 +65,8 @@
         if path == "/jobs/assign":
             if not await service.accept_assignment(message):
                 raise PeerError("not taken")
+        elif path == "/jobs/prepare":
+            service.accept_preparation(message)
         else:
             service.apply_owner_update(message)
         return b""
@@ -81,11 +85,15 @@
         super().__init__()
         self._shared = store
         self.cut = False
+        self.reset = False
 
     async def _reach(self):
         if self.cut:
             await asyncio.sleep(1.5)
             raise PlatformUnavailableError("cut")
+        if self.reset:
+            await asyncio.sleep(0.005)
+            raise AnswerLostError("reset")
 
     async def get(self, *, kind, name):
         await self._reach()
@@ -874,3 +882,88 @@
         assert world.sent("i1")
 
     _play(_whole, story)
+
+
+def _outage(world, is_down):
+    for node in world.nodes:
+        node.link.reset = is_down
+
+
+async def _offer_in_vain(world, items, **changes):
+    """Submits a job while the store resets all connections."""
+    with pytest.raises(RefusedError) as caught:
+        await world.submit(items, **changes)
+    # Not a promise that nothing of it runs.
+    assert caught.value.ran is RunState.UNKNOWN
+
+
+def test_a_step_offered_in_an_outage_of_the_store_is_not_late_by_it():
+    """The texts take 3 s; the outage ends 4 s after the first offer."""
+    scores = []
+
+    def answer(name, call):
+        if name == "p0":
+            scores.append(call.request_id)
+        first = int(call.last_event_id or 0) + 1
+        return ScriptedAnswer(events=list(range(first, 4)), pause_s=1.0)
+
+    async def story(world):
+        items = [item(f"i{n}", score=True) for n in range(4)]
+        _outage(world, True)
+        for _ in range(4):
+            await _offer_in_vain(world, items)
+            await asyncio.sleep(0.25)
+        assert scores == []
+        _outage(world, False)
+        await world.submit(items)
+        await asyncio.sleep(0.7)
+        results = (await world.read()).results
+        assert {r.text for r in results} == {"t1\nt2\nt3"}
+        assert len(results) == 4
+        # Nothing was generated twice.
+        for n in range(4):
+            assert len(world.sent(f"i{n}")) == 1
+
+    _play(answer, story)
+
+
+def test_a_job_that_is_never_created_stops_when_it_would_be_late():
+    async def story(world):
+        _outage(world, True)
+        await _offer_in_vain(world, [item("i1")], due_s=2.0)
+        await asyncio.sleep(2.5)
+        sent = len(world.servers.sent)
+        await asyncio.sleep(5.0)
+        assert len(world.servers.sent) == sent
+        assert not any(node.runner.jobs for node in world.nodes)
+
+    def answer(*_):
+        return ScriptedAnswer(events=[1, lost()], pause_s=0.2)
+
+    _play(answer, story)
+
+
+def test_texts_prepared_by_one_node_reach_the_one_that_takes_over():
+    """The creation took effect late; a reader at the other node finds it."""
+
+    async def story(world):
+        items = [item("i1")]
+        _outage(world, True)
+        await _offer_in_vain(world, items)
+        await asyncio.sleep(1.0)
+        prepared = next(n for n in world.nodes if n.runner._provisional)
+        other = next(n for n in world.nodes if n is not prepared)
+        _outage(world, False)
+        job = submission(
+            items,
+            submitted_ms=world.now_ms(),
+            first_owner=prepared.parts.fleet.local_node.owner_id,
+        )
+        await other.runner._store.create(job)
+        await world.read(other)
+        await asyncio.sleep(3.0)
+        assert len((await world.read(other)).results) == 1
+        assert [c.last_event_id for c in world.sent("i1")][0] is None
+        assert world.sent("i1")[1].last_event_id is not None
+
+    _play(_slower, story)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -203,3 +203,26 @@
     assert max(took) <= 0.192
     # Within 3 s: at first, and after pauses of 0.25, 0.5, 1 and 2 s.
     assert silent_sends <= 5
+
+
+def test_two_unreachable_servers_leave_time_for_a_third():
+    """A gateway's data centre is cut off, with one server in it."""
+    limits = []
+
+    def answer(name, call):
+        if name == "s2":
+            return ScriptedAnswer(body=b"yes")
+        limits.append(call.connect_timeout_s)
+
+        async def unreachable():
+            await asyncio.sleep(call.connect_timeout_s)
+            return lost(RunState.NOT_RUN)
+
+        return unreachable
+
+    outcome, _, took_s = _forward(
+        answer, max_attempts=1, target_latency_s=0.192
+    )
+    assert outcome.body == b"yes"
+    assert took_s + 0.04 <= 0.192
+    assert limits
