--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -927,6 +927,29 @@
     _play(answer, story)
 
 
+def test_nothing_is_scored_before_the_job_is_known_to_be_created():
+    scores = []
+
+    def answer(name, call):
+        if name == "p0":
+            scores.append(call.request_id)
+        return _whole(name, call)
+
+    async def story(world):
+        items = [item("i1", score=True)]
+        _outage(world, True)
+        await _offer_in_vain(world, items)
+        await asyncio.sleep(1.0)
+        assert len(world.sent("i1")) == 1
+        assert scores == []
+        _outage(world, False)
+        await world.submit(items)
+        await asyncio.sleep(0.5)
+        assert len(scores) == 1
+
+    _play(answer, story)
+
+
 def test_a_job_that_is_never_created_stops_when_it_would_be_late():
     async def story(world):
         _outage(world, True)
@@ -935,7 +958,8 @@
         sent = len(world.servers.sent)
         await asyncio.sleep(5.0)
         assert len(world.servers.sent) == sent
-        assert not any(node.runner.jobs for node in world.nodes)
+        for node in world.nodes:
+            assert not node.runner.jobs and not node.runner._provisional
 
     def answer(*_):
         return ScriptedAnswer(events=[1, lost()], pause_s=0.2)
