Keep callers and peers from waiting for a store that turns the owner away

Change: one call in 3 s tries the store in the background; a caller waits only for the controller. A store that exceeds the 0.4 s counts as turning this VM away at once. A read waits at most 0.7 s for a result.

Tests: test_no_caller_waits_for_a_store_that_stays_silent.

--- a/endivespindle/runtime/ingress.py
+++ b/endivespindle/runtime/ingress.py
@@ -44,6 +44,10 @@
 _DEFAULT_BODY_BYTES = 33_554_432
 # Time reserved before the deadline for returning the response.
 _RESPONSE_MARGIN_S = 0.01
+# Longest time for which a read of a job waits for a result. The node that owns
+# the job then confirms this with the store, and must reply before the node that
+# asks takes it for lost.
+_MAX_RESULT_WAIT_S = 0.7
 # This status guarantees that the request has not run and will not run.
 _STATUS_NOT_RUN = 503
 _STATUS_OUTCOME_UNKNOWN = 504
@@ -309,7 +313,7 @@
             job_request.end = True
         else:
             job_request.after = _parse_position(request.query.get("after", "0"))
-            job_request.wait_s = min(1.0, metadata.wait_s or 0.0)
+            job_request.wait_s = min(_MAX_RESULT_WAIT_S, metadata.wait_s or 0.0)
         reply = await self._jobs.query(job_request)
         if reply.state is JobReplyStatus.MISSING:
             return web.Response(status=404)
--- a/endivespindle/runtime/store_proxy.py
+++ b/endivespindle/runtime/store_proxy.py
@@ -254,8 +254,14 @@
             self._call_directly,
             self._call_through_controller,
         ]
+        hedge_delay_s = _HEDGE_DELAY_S
         if self._clock.monotonic() < self._avoid_until_s:
             paths.reverse()
+        elif self._is_avoiding:
+            # The store may still turn this VM away: one call tries it, and no
+            # caller waits for it.
+            hedge_delay_s = 0.0
+            self._avoid_direct("")
         errors: list[PlatformError] = []
         pending: set[asyncio.Task[StoreReply]] = set()
         while paths or pending:
@@ -263,9 +269,11 @@
                 pending.add(self._spawn(paths.pop(0)(op)))
             done, pending = await asyncio.wait(
                 pending,
-                timeout=_HEDGE_DELAY_S if paths else None,
+                timeout=hedge_delay_s if paths else None,
                 return_when=asyncio.FIRST_COMPLETED,
             )
+            if not done and not self._is_avoiding:
+                self._avoid_direct(f"no response within {_HEDGE_DELAY_S} s")
             for task in done:
                 exc = task.exception()
                 if exc is None or not isinstance(exc, _UNANSWERED):
@@ -290,16 +298,18 @@
         try:
             reply = await _carry_out(self._store, op)
         except _UNANSWERED as exc:
-            self._avoid_until_s = self._clock.monotonic() + _AVOID_DIRECT_S
-            self._set_avoiding(str(exc))
+            self._avoid_direct(str(exc))
             raise
-        self._set_avoiding("")
         self._avoid_until_s = 0.0
+        if self._is_avoiding:
+            self._is_avoiding = False
+            self._on_switch("")
         return reply
 
-    def _set_avoiding(self, error: str) -> None:
-        if bool(error) is not self._is_avoiding:
-            self._is_avoiding = bool(error)
+    def _avoid_direct(self, error: str) -> None:
+        self._avoid_until_s = self._clock.monotonic() + _AVOID_DIRECT_S
+        if not self._is_avoiding:
+            self._is_avoiding = True
             self._on_switch(error)
 
     async def _call_through_controller(self, op: StoreOperation) -> StoreReply:
--- a/tests/test_store_proxy.py
+++ b/tests/test_store_proxy.py
@@ -164,6 +164,7 @@
         world.direct.trouble = ""
         await asyncio.sleep(3.1)
         await world.store.get(kind="k", name="n")
+        await asyncio.sleep(0.1)
         relayed = world.relayed
         await world.store.get(kind="k", name="n")
         assert world.relayed == relayed
@@ -172,6 +173,22 @@
     _play(story)
 
 
+def test_no_caller_waits_for_a_store_that_stays_silent():
+    """Each call within an outage of 12 s, also when the store is tried."""
+
+    async def story(world):
+        world.direct.trouble = "silent"
+        await world.put(b"1", 0)
+        for _ in range(60):
+            start_s = world.clock.monotonic()
+            await world.store.get(kind="k", name="n")
+            assert world.clock.monotonic() - start_s <= 0.05
+            await asyncio.sleep(0.2)
+        assert 3 <= world.direct.calls <= 5
+
+    _play(story)
+
+
 def test_a_write_sent_on_both_paths_takes_effect_once():
     async def story(world):
         await world.put(b"1", 0)
