--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -51,7 +51,7 @@
             rng=self.parts.rng,
             probe_interval_s=2.0,
         )
-        relayed = RelayedStore(
+        self.relayed = relayed = RelayedStore(
             store=self.store,
             peers=self,
             relays=lambda: [RELAY],
@@ -221,3 +221,30 @@
         assert reply.lost
 
     _play(story)
+
+
+def test_a_process_that_restarts_beside_a_cut_off_relay_trusts_no_old_key():
+    """It lists from the relay, whose state may miss a withdrawn key."""
+
+    async def story(world):
+        await world.write(b"with key")
+        await asyncio.sleep(2.0)
+        read_s = world.feed._confirmed_s
+        world.store.faults.down = True
+        await asyncio.sleep(4.5)
+        seen, confirmed = [], []
+        restarted = world._follower(
+            world.relayed,
+            seen.extend,
+            seen.append,
+            lambda version, asked_s: confirmed.append(asked_s),
+        )
+        task = asyncio.create_task(restarted.run())
+        await asyncio.sleep(0.2)
+        task.cancel()
+        assert [obj.value for obj in seen][:1] == [b"with key"]
+        # Known only as of the relay's last read: older than the bound allows.
+        assert max(confirmed) <= read_s + 1.2
+        assert world.clock.monotonic() - max(confirmed) > 3.0
+
+    _play(story)
