Bound concurrent weight loads by the servers a service began with

A third of the servers loaded at once, servers ordered later counted too, while the weight store serves fewer without slowing down: 2 of 5, 9 of 23, 13 of 32 on the users' sheets. Each load then takes longer and each of its servers generates nothing meanwhile.

Change: at most 0.4 of the servers that the service began with.

Ruled out: longer pauses at the gateways (the servers really were loading).

Tests: test_ordered_servers_do_not_raise_the_number_of_concurrent_loads; test_many_servers_keep_up_with_four_trainers expects 9 of 23 instead of 8, which is the sheet's bound instead of a third.

--- a/endivespindle/weights/load_plan.py
+++ b/endivespindle/weights/load_plan.py
@@ -12,10 +12,11 @@
 # Servers assigned to a model, as a multiple of its even share. Only half of
 # them load each version, so that twice the share causes no more loads.
 _ASSIGNMENT_FACTOR = 2
-# Fraction of a service's servers that may load at once, and its lower bound in
-# servers: loading servers share the bandwidth of the weight store, and the
-# others must have enough slots.
-_MAX_LOADING_FRACTION = 1 / 3
+# Fraction of the servers a service began with that may load at once, and its
+# lower bound in servers. Loading servers share the bandwidth of the weight
+# store, which does not grow with the servers that are ordered later; if more
+# load together, each of them generates nothing for longer.
+_MAX_LOADING_FRACTION = 0.4
 _MIN_CONCURRENT_LOADS = 2
 
 
@@ -139,8 +140,9 @@
                 )
                 orders.append((usable, order))
     orders.sort(key=lambda pair: pair[0])
+    baseline = min(baseline_count or len(servers), len(servers))
     max_concurrent = max(
-        _MIN_CONCURRENT_LOADS, math.ceil(_MAX_LOADING_FRACTION * len(servers))
+        _MIN_CONCURRENT_LOADS, math.floor(_MAX_LOADING_FRACTION * baseline)
     )
     free = max(0, max_concurrent - len(loading))
     chosen: dict[str, LoadOrder] = {}
