Test a server that refused a model with one item, and leave failing servers

Change: after a refusal one item tests the server; the others follow once it runs it. An item returns to the server it was sent to last only if all others are slower by a second.

Tests: three in test_schedule; two mutants, caught.

--- a/endivespindle/batch/schedule.py
+++ b/endivespindle/batch/schedule.py
@@ -25,9 +25,8 @@
 _REMOTE_COST_S = 0.01
 # Seconds saved at the server with the group's prompt in its prefix cache.
 _PREFIX_CACHE_GAIN_S = 0.05
-# Cost of the server that generated the last events of a completion, in
-# seconds: a completion returns there only if every other server is slower by
-# this much.
+# Cost of the server that the item was sent to last, in seconds: an item returns
+# there only if every other server is slower by this much.
 _RETURN_COST_S = 1.0
 # Cost of a new connection, in seconds: servers accept a limited number of them,
 # and each occupies its server for a moment.
@@ -116,12 +115,12 @@
                 (job.submission.job_id, state.item.group)
             )
             view = _fastest_server(
-                usable,
+                [v for v in usable if not _is_reserved(v, job, assigned)],
                 assigned,
                 events=item_remaining_events(job, state),
                 baseline_interval_s=baseline_interval_s,
                 prefix_server=prefix_server,
-                previous_server=state.server if state.chunks else None,
+                previous_server=state.server or None,
                 data_centre=data_centre,
                 rng=rng,
             )
@@ -154,6 +153,16 @@
     return not sub.model or view.versions.get(sub.model, 0) >= sub.min_version
 
 
+def _is_reserved(
+    view: ServerView, job: JobState, assigned: dict[str, int]
+) -> bool:
+    """Returns whether a server that refused the model tests one request."""
+    model = job.submission.model
+    return view.is_probing(model) and (
+        view.awaits_probe(model) or view.entry.name in assigned
+    )
+
+
 def _fastest_server(
     views: Sequence[ServerView],
     assigned: dict[str, int],
@@ -174,7 +183,7 @@
         baseline_interval_s: Seconds per event assumed for servers whose
             interval is not known.
         prefix_server: Server with the group's prompt in its prefix cache.
-        previous_server: Server that generated the last events.
+        previous_server: Server that the item was sent to last.
         data_centre: Data centre of this VM.
         rng: Source of the random cost.
 
--- a/endivespindle/batch/tests/test_schedule.py
+++ b/endivespindle/batch/tests/test_schedule.py
@@ -184,3 +184,43 @@
         busy.begin_request()
     placed = _place([_step([10], size=1)], directory)
     assert placed[0].server.entry.name == "e1"
+
+
+def test_a_server_that_refused_a_model_is_tested_by_one_item():
+    """It loads weights; a step of 48 items waits for it and one other."""
+    directory = _engines(2, slots=12)
+    loading = directory.get("e0")
+    loading.refuse_model("m", 0.15)
+    clock = loading._clock
+    assert {p.server.entry.name for p in _place([_step([10])], directory)} == {
+        "e1"
+    }
+    clock.advance(0.2)
+    placed = _place([_step([10] * 6)], directory)
+    assert [p.server.entry.name for p in placed].count("e0") == 1
+    loading.begin_model_request("m")
+    placed = _place([_step([10] * 6)], directory)
+    assert "e0" not in {p.server.entry.name for p in placed}
+    loading.confirm_model("m")
+    placed = _place([_step([10] * 6)], directory)
+    assert [p.server.entry.name for p in placed].count("e0") >= 11
+
+
+def test_a_test_item_that_was_lost_is_followed_by_another():
+    directory = _engines(1, slots=12)
+    view = directory.get("e0")
+    view.refuse_model("m", 0.0)
+    view.begin_model_request("m")
+    view.end_model_request("m")
+    assert len(_place([_step([10])], directory)) == 1
+
+
+def test_an_item_does_not_return_at_once_to_the_server_that_failed_it():
+    """The server answers at once, and its connection is the only open one."""
+    directory = _engines(2, slots=12)
+    failing = directory.get("e0")
+    failing.begin_request()
+    failing.end_request(failed=False, duration_s=0.01)
+    job = _step([10], size=1)
+    next(iter(job.items.values())).server = "e0"
+    assert [p.server.entry.name for p in _place([job], directory)] == ["e1"]
--- a/endivespindle/runtime/completion_runner.py
+++ b/endivespindle/runtime/completion_runner.py
@@ -173,13 +173,14 @@
         head = resp.head
         sub = job.state.submission
         if head.not_run:
-            view.pause_model(sub.model, _LOADING_PAUSE_S)
+            view.refuse_model(sub.model, _LOADING_PAUSE_S)
             state.not_before_s = self._clock.monotonic() + _BUSY_PAUSE_S
             await resp.read()
             return "not_run"
         if head.status != 200:
             await resp.read()
             return self._handle_failure(job, state, head.status)
+        view.confirm_model(sub.model)
         version = head.weight_version
         if version is not None:
             view.record_version(sub.model, version)
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -475,7 +475,12 @@
             if not job.may_run(state):
                 # The confirmation found the job ended or its record changed.
                 return
-            await self._completions.run(job, state, view)
+            model = job.state.submission.model
+            view.begin_model_request(model)
+            try:
+                await self._completions.run(job, state, view)
+            finally:
+                view.end_model_request(model)
             if state.phase is ItemPhase.SCORING and not job.is_provisional:
                 await self._rewards.score(job, state)
         finally:
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -108,6 +108,7 @@
         "_peak_since_s",
         "_peer_loads",
         "_previous_peak",
+        "_probed_models",
         "availability",
         "duration_s",
         "entry",
@@ -136,6 +137,7 @@
         self._last_used_s = -math.inf
         self._peak = 0
         self._previous_peak = 0
+        self._probed_models: dict[str, int] = {}
         self._peak_since_s = clock.monotonic()
         self.entry = entry
         self.in_flight = 0
@@ -275,6 +277,36 @@
             model, 0.0
         )
 
+    def refuse_model(self, model: str, seconds: float) -> None:
+        """Records that the server did not run a model's request.
+
+        After the pause a single request tests whether it does now.
+        """
+        self.pause_model(model, seconds)
+        self._probed_models[model] = 0
+
+    def confirm_model(self, model: str) -> None:
+        """Records that the server runs a model's requests."""
+        self._probed_models.pop(model, None)
+
+    def begin_model_request(self, model: str) -> None:
+        """Records that a model's request is placed on the server."""
+        if model in self._probed_models:
+            self._probed_models[model] += 1
+
+    def end_model_request(self, model: str) -> None:
+        """Records that a model's request has left the server."""
+        if self._probed_models.get(model, 0) > 0:
+            self._probed_models[model] -= 1
+
+    def is_probing(self, model: str) -> bool:
+        """Returns whether the server may take one request of a model only."""
+        return model in self._probed_models
+
+    def awaits_probe(self, model: str) -> bool:
+        """Returns whether the request that tests the server is under way."""
+        return self._probed_models.get(model, 0) > 0
+
     def record_load(self, *, running: int, waiting: int) -> None:
         """Records the load reported by a response."""
         self._other_load = max(0.0, running + waiting - self.in_flight)
