List backend servers through the relay when all VMs start

A relay that had just started itself replied nothing and was left for 3 s, in which the gateway watched the store.

Change: each kind waits for the relay; a list waits 0.5 s for the relay's first read; a relay without one is asked again at the next watch.

Tests: test_a_start_of_all_vms_lists_through_the_relay. Tried and taken back: a first pause of 1 s after a failed relay.

--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -223,18 +223,18 @@
         """
         ctx = self._ctx
         config_wait_s = ctx.settings.timing.revoke_s * _CONFIG_WAIT_FRACTION
-        relayed_store = self._relayed_store(
-            wait_for_relay_s=_RELAY_DISCOVERY_TIMEOUT_S
-        )
         nodes = make_node_watcher(
             ctx, self._relayed_store(max_wait_s=_NODE_WATCH_WAIT_S)
         )
         config = make_config_watcher(
-            ctx, relayed_store, self._config, wait_s=config_wait_s
+            ctx,
+            self._relayed_store(wait_for_relay_s=_RELAY_DISCOVERY_TIMEOUT_S),
+            self._config,
+            wait_s=config_wait_s,
         )
         servers = make_server_watcher(
             ctx,
-            relayed_store,
+            self._relayed_store(wait_for_relay_s=_RELAY_DISCOVERY_TIMEOUT_S),
             self._directory,
             wait_s=_SERVER_WATCH_WAIT_S,
             on_change=self._runner.wake,
--- a/endivespindle/runtime/relay.py
+++ b/endivespindle/runtime/relay.py
@@ -43,6 +43,9 @@
 MAX_RELAY_WAIT_S = 0.6
 # Time beyond the requested wait after which a relay counts as unresponsive.
 _REPLY_MARGIN_S = 0.3
+# Time for which a list waits for the first read of a relay that has just
+# started, as after a loss of power of all VMs.
+_FIRST_READ_WAIT_S = 0.5
 # Interval between checks for a relay that is not known yet.
 _RELAY_POLL_S = 0.1
 
@@ -161,7 +164,7 @@
         """
         arrived_s = self._clock.monotonic()
         may_wait = req.wait_if_stale or self.is_fresh()
-        if may_wait and req.after >= 0 and self._version <= req.after:
+        if may_wait and (self._version < 0 or self._version <= req.after):
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._updated.wait(), req.wait_s)
         if self._version < 0:
@@ -257,7 +260,9 @@
             await asyncio.sleep(_RELAY_POLL_S)
             remaining_s -= _RELAY_POLL_S
         relays = self._usable_relays()
-        reply = await self._ask_relays(relays, kind, after=-1, wait_s=0.0)
+        reply = await self._ask_relays(
+            relays, kind, after=-1, wait_s=_FIRST_READ_WAIT_S
+        )
         if reply is None:
             listed = await self._store.list_objects(kind=kind, prefix=prefix)
             self._record_store_reached(relays)
@@ -315,7 +320,7 @@
                 kind=kind,
                 after=after,
                 wait_s=wait_s,
-                wait_if_stale=self._selector.is_stale(relay.name),
+                wait_if_stale=after < 0 or self._selector.is_stale(relay.name),
             )
             try:
                 reply = await self._request(relay, req)
@@ -324,6 +329,8 @@
                 self._on_relay_failure(relay.name, str(exc))
                 wait_s = 0.0
                 continue
+            if reply is None:
+                continue
             if not reply.stale:
                 self._selector.record_reply(relay.name)
                 return reply
@@ -336,17 +343,15 @@
 
     async def _request(
         self, relay: NodeRecord, req: RelayRequest
-    ) -> RelayReply:
+    ) -> RelayReply | None:
+        """Asks a relay; it replies None before its first read of the store."""
         body = await self._peers.post(
             relay, "/relay", req, timeout_s=req.wait_s + _REPLY_MARGIN_S
         )
         try:
-            reply = msgspec.msgpack.decode(body, type=RelayReply | None)
+            return msgspec.msgpack.decode(body, type=RelayReply | None)
         except msgspec.MsgspecError as exc:
             raise PeerError(f"{relay.name}: {exc}") from exc
-        if reply is None:
-            raise PeerError(f"{relay.name}: has not read the store yet")
-        return reply
 
     def _usable_relays(self) -> list[NodeRecord]:
         """Returns the relays to ask, in this order."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -248,3 +248,18 @@
         assert world.clock.monotonic() - max(confirmed) > 3.0
 
     _play(story)
+
+
+def test_a_start_of_all_vms_lists_through_the_relay():
+    """The watcher asks a relay that has not read the store yet."""
+
+    async def run():
+        world = _World()
+        world.store.faults.delay_s = 0.2
+        await asyncio.sleep(1.0)
+        # The relay's own list and watches, and nothing of the watcher.
+        assert world.store.reads <= 3
+        assert world.confirmed
+        assert world.shunned == []
+
+    run_virtual(run())
