Confirm keys within half a second of an outage's end

The breaker of the controllers that all gateways follow had backed off to 2 s, and steps offered in the meantime were refused until their callers gave up.

Change: lists and watches of the configuration count as calls with a waiting caller, which may probe four times a second. Only controllers make them, and gateways once in 2 s.

Ruled out: the relays (they pass the confirmation on at once), the watcher's own backoff (0.5 s at most).

Tests: test_keys_are_confirmed_soon_after_an_outage_of_the_store, three lengths; all fail without the change.

--- a/endivespindle/store/rate_limited_platform.py
+++ b/endivespindle/store/rate_limited_platform.py
@@ -46,6 +46,9 @@
 )
 # Kinds whose objects are created while a caller waits for the response.
 _CALLER_AWAITED_KINDS = frozenset({"jobs"})
+# Kinds whose state callers wait for after an outage: requests with keys are
+# refused until the configuration is confirmed again.
+_CALLER_AWAITED_READS = frozenset({"config"})
 
 
 def _priority(kind: str) -> CallPriority:
@@ -93,6 +96,7 @@
             ),
             kind=CallKind.READ,
             priority=_priority(kind),
+            has_waiting_caller=kind in _CALLER_AWAITED_READS,
         )
 
     async def put(
@@ -140,6 +144,7 @@
             ),
             kind=CallKind.READ,
             priority=_priority(kind),
+            has_waiting_caller=kind in _CALLER_AWAITED_READS,
         )
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import msgspec
+import pytest
 
 from endivespindle.exceptions import PeerError
 from endivespindle.runtime.fleet_view import NodeRecord
@@ -11,6 +12,10 @@
 from endivespindle.runtime.settings import NodeRole
 from endivespindle.serving.relay_selection import RelaySelector
 from endivespindle.standins.memory_store import MemoryObjectStore
+from endivespindle.store.call_limiter import CallLimiter
+from endivespindle.store.circuit_breaker import CircuitBreaker
+from endivespindle.store.rate_limited_platform import RateLimitedStore
+from endivespindle.store.rate_limiter import CallRateLimiter
 from tests.fleet_fakes import node_parts
 from tests.virtual_loop import run_virtual
 
@@ -263,3 +268,55 @@
         assert world.shunned == []
 
     run_virtual(run())
+
+
+@pytest.mark.parametrize("outage_s", [2.0, 6.0, 15.0])
+def test_keys_are_confirmed_soon_after_an_outage_of_the_store(outage_s):
+    """The breaker of the relay that follows the store has backed off."""
+
+    async def run():
+        parts = node_parts("c1")
+        store = MemoryObjectStore()
+        limited = RateLimitedStore(
+            store=store,
+            limiter=CallLimiter(
+                rate_limiter=CallRateLimiter(
+                    clock=parts.clock, reads_per_s=200, writes_per_s=40
+                ),
+                breaker=CircuitBreaker(clock=parts.clock, rng=parts.rng),
+                on_call=lambda name, outcome: None,
+            ),
+        )
+        confirmed = []
+        tasks = [
+            asyncio.create_task(
+                KindWatcher(
+                    store=limited,
+                    kind=kind,
+                    wait_s=0.5,
+                    clock=parts.clock,
+                    rng=parts.rng,
+                    log=parts.log,
+                    on_list=lambda objects: None,
+                    on_change=lambda obj: None,
+                    on_confirmed=lambda version, asked_s, kind=kind: (
+                        confirmed.append((kind, asked_s))
+                    ),
+                ).run()
+            )
+            for kind in ("config", "servers", "vms")
+        ]
+        await asyncio.sleep(2.0)
+        store.faults.down = True
+        await asyncio.sleep(outage_s)
+        reads = store.reads
+        store.faults.down = False
+        healed_s = parts.clock.monotonic()
+        await asyncio.sleep(0.7)
+        for task in tasks:
+            task.cancel()
+        assert [s for kind, s in confirmed if kind == "config" and s > healed_s]
+        # The outage itself costs no more than four reads a second.
+        assert reads <= 4 * (outage_s + 2.0) + 20
+
+    run_virtual(run())
