Log when a controller that cannot reach the store still replies

Only a controller that does not reply left a line (relay_shunned).

No decision changes. tests/test_relay.py covers the line.

--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -271,6 +271,9 @@
             on_relay_failure=lambda name, error: self._ctx.log.event(
                 "relay_shunned", relay=name, error=error
             ),
+            on_relay_stale=lambda name, lag_s: self._ctx.log.event(
+                "relay_stale", relay=name, age_s=round(lag_s, 2)
+            ),
         )
         return [
             make_config_watcher(
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -286,6 +286,9 @@
             on_relay_failure=lambda name, error: self._ctx.log.event(
                 "relay_shunned", relay=name, error=error
             ),
+            on_relay_stale=lambda name, lag_s: self._ctx.log.event(
+                "relay_stale", relay=name, age_s=round(lag_s, 2)
+            ),
             max_wait_s=max_wait_s,
             wait_for_relay_s=wait_for_relay_s,
         )
--- a/endivespindle/runtime/log_trace.py
+++ b/endivespindle/runtime/log_trace.py
@@ -20,6 +20,7 @@
         "lease_held",
         "lease_lost",
         "relay_shunned",
+        "relay_stale",
         "started",
         "stopped",
         "stopping",
--- a/endivespindle/runtime/relay.py
+++ b/endivespindle/runtime/relay.py
@@ -196,6 +196,9 @@
         clock: Clock of this VM.
         on_relay_failure: Called with the relay's name and the error when a
             relay does not reply.
+        on_relay_stale: Called with the relay's name and the age of its state
+            in seconds when a relay begins to report that it cannot reach the
+            store.
         max_wait_s: Longest wait of a watch at a relay, in seconds.
         wait_for_relay_s: Seconds for which the first list waits until a relay
             is known.
@@ -206,6 +209,7 @@
         "_find_relays",
         "_max_wait_s",
         "_on_relay_failure",
+        "_on_relay_stale",
         "_peers",
         "_selector",
         "_store",
@@ -221,6 +225,7 @@
         selector: RelaySelector,
         clock: Clock,
         on_relay_failure: Callable[[str, str], None],
+        on_relay_stale: Callable[[str, float], None],
         max_wait_s: float = MAX_RELAY_WAIT_S,
         wait_for_relay_s: float = 0.0,
     ):
@@ -230,6 +235,7 @@
         self._selector = selector
         self._clock = clock
         self._on_relay_failure = on_relay_failure
+        self._on_relay_stale = on_relay_stale
         self._max_wait_s = max_wait_s
         self._wait_for_relay_s = wait_for_relay_s
 
@@ -322,6 +328,7 @@
                 wait_s=wait_s,
                 wait_if_stale=after < 0 or self._selector.is_stale(relay.name),
             )
+            asked_s = self._clock.monotonic()
             try:
                 reply = await self._request(relay, req)
             except PeerError as exc:
@@ -334,6 +341,9 @@
             if not reply.stale:
                 self._selector.record_reply(relay.name)
                 return reply
+            if not self._selector.is_stale(relay.name):
+                age_s = reply.lag_s + self._clock.monotonic() - asked_s
+                self._on_relay_stale(relay.name, age_s)
             self._selector.record_stale(relay.name)
             if best is None or reply.lag_s < best.lag_s:
                 best = reply
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -49,6 +49,7 @@
             ),
         )
         self.shunned = []
+        self.stale = []
         self.selector = RelaySelector(
             vm="g1",
             data_centre="a",
@@ -63,6 +64,7 @@
             selector=self.selector,
             clock=self.clock,
             on_relay_failure=lambda *args: self.shunned.append(args),
+            on_relay_stale=lambda *args: self.stale.append(args),
         )
         watcher = self._follower(
             relayed,
@@ -174,6 +176,17 @@
     _play(story)
 
 
+def test_a_relay_that_is_cut_off_is_reported_with_the_age_of_its_state():
+    async def story(world):
+        world.store.faults.down = True
+        await asyncio.sleep(6.0)
+        assert not world.shunned
+        name, age_s = world.stale[0]
+        assert (name, 2.7 <= age_s <= 4.0) == ("c1", True)
+
+    _play(story)
+
+
 def test_a_relay_that_has_read_nothing_yet_is_of_no_use():
     async def story(world):
         feed = WatchCache(clock=world.clock, max_age_s=2.7)
