Refuse requests for good only by a configuration within its bound

Cause: an unknown route, an unknown key and a missing key were refused for good while the configuration's confirmation was younger than the limit for withdrawn keys: 4.2 s, 3.0 s on the landing that showed it. That limit says how long a key may still be served; a change must be in force after configApplyMs (2 s). One age stood for two bounds.

The bound is now read from the settings file. Beyond it such a request gets 503 with Retry-After (config_unconfirmed), which callers may repeat, and so do a body over the configured limit and a key of another client account. Requests that the configuration allows are served as before, up to the limit for keys.

--- a/endivespindle/core/reasons.py
+++ b/endivespindle/core/reasons.py
@@ -34,6 +34,11 @@
         RunState.NOT_RUN,
         "Tenant keys cannot be confirmed while this data centre is cut off.",
     )
+    CONFIG_UNCONFIRMED = (
+        503,
+        RunState.NOT_RUN,
+        "A newer configuration may allow this request.",
+    )
     KEY_EXPOSED = (
         400,
         RunState.NOT_RUN,
--- a/endivespindle/platform/settings_file.py
+++ b/endivespindle/platform/settings_file.py
@@ -28,6 +28,7 @@
     """Field `timingBounds`; the suffix of each name is its unit."""
 
     revoke_ms: float = 5000
+    config_apply_ms: float = 2000
     strict_revoke: bool = True
     grace_s: float = 8
     lease_ms: float = 3000
@@ -137,6 +138,7 @@
 def _timing(bounds: _TimingBounds) -> Timing:
     return Timing(
         revoke_s=bounds.revoke_ms / 1000,
+        config_apply_s=bounds.config_apply_ms / 1000,
         revoke_strictly=bounds.strict_revoke,
         grace_s=bounds.grace_s,
         lease_s=bounds.lease_ms / 1000,
--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -185,7 +185,9 @@
             session=self._session, single_use=self._session
         )
         self._config = ActiveConfig(
-            clock=ctx.clock, max_unconfirmed_s=float("inf")
+            clock=ctx.clock,
+            max_unconfirmed_s=float("inf"),
+            apply_s=settings.timing.config_apply_s,
         )
         self._directory = ServerDirectory(
             clock=ctx.clock, on_leaving=ctx.record_leaving_server
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -126,7 +126,9 @@
         self._tasks: list[asyncio.Task[None]] = []
         settings, clock = parts.settings, parts.clock
         self._config = ActiveConfig(
-            clock=clock, max_unconfirmed_s=self._max_unconfirmed_s()
+            clock=clock,
+            max_unconfirmed_s=self._max_unconfirmed_s(),
+            apply_s=settings.timing.config_apply_s,
         )
         self._directory = ServerDirectory(
             clock=clock, on_leaving=parts.record_leaving_server
--- a/endivespindle/runtime/ingress.py
+++ b/endivespindle/runtime/ingress.py
@@ -318,6 +318,7 @@
         if reply.state is JobReplyStatus.MISSING:
             return web.Response(status=404)
         if account and reply.client_account != account:
+            self._config.check_final_refusal()
             raise RefusedError(Reason.WRONG_ACCOUNT)
         return _job_response(job_request, reply)
 
@@ -335,6 +336,7 @@
         async for part in request.content.iter_any():
             size += len(part)
             if size > limit:
+                self._config.check_final_refusal()
                 raise RefusedError(Reason.BODY_TOO_LARGE)
             parts.append(part)
         return b"".join(parts)
--- a/endivespindle/runtime/settings.py
+++ b/endivespindle/runtime/settings.py
@@ -29,6 +29,8 @@
 
     Attributes:
         revoke_s: Time after its revocation by which a key must be rejected.
+        config_apply_s: Time after its acknowledgement by which a change of the
+            configuration must be in force.
         revoke_strictly: Whether `revoke_s` also binds a VM that is partitioned
             from the platform.
         grace_s: Time between SIGTERM and SIGKILL.
@@ -39,6 +41,7 @@
     """
 
     revoke_s: float = 5.0
+    config_apply_s: float = 2.0
     revoke_strictly: bool = True
     grace_s: float = 8.0
     lease_s: float = 3.0
--- a/endivespindle/serving/active_config.py
+++ b/endivespindle/serving/active_config.py
@@ -45,12 +45,15 @@
     A read that returns the version confirms it as of the time just before the
     read was sent. Where keys are revoked strictly, a request with a key is
     refused once the last confirmation is too old, as the key may have been
-    revoked since.
+    revoked since. A final refusal needs a confirmation within the bound on
+    applying changes: a newer configuration may allow the request.
 
     Args:
         clock: Clock of this VM; includes time in which the VM was suspended.
         max_unconfirmed_s: Age of the confirmation after which requests with
             keys are refused; infinite if keys need no fresh configuration.
+        apply_s: Age of the confirmation up to which requests that the active
+            configuration does not allow are refused for good.
 
     Attributes:
         config: The active configuration; None before the first one.
@@ -58,6 +61,7 @@
 
     __slots__ = (
         "_accounts",
+        "_apply_s",
         "_clock",
         "_confirmed_s",
         "_max_unconfirmed_s",
@@ -66,8 +70,11 @@
         "config",
     )
 
-    def __init__(self, *, clock: Clock, max_unconfirmed_s: float):
+    def __init__(
+        self, *, clock: Clock, max_unconfirmed_s: float, apply_s: float
+    ):
         self._clock = clock
+        self._apply_s = apply_s
         self._max_unconfirmed_s = max_unconfirmed_s
         self._confirmed_s = -math.inf
         self._routes: dict[str, list[Route]] = {}
@@ -122,6 +129,18 @@
         """Returns whether the confirmation is recent enough to accept keys."""
         return self.confirmation_age_s() <= self._max_unconfirmed_s
 
+    def check_final_refusal(self) -> None:
+        """Checks that no newer configuration can be in force elsewhere.
+
+        Called before a request is refused for good.
+
+        Raises:
+            RefusedError: The configuration is not confirmed as of recently
+                enough; the request may be repeated.
+        """
+        if self.confirmation_age_s() > self._apply_s:
+            raise _retryable_refusal(Reason.CONFIG_UNCONFIRMED)
+
     def service(self, name: str) -> ServiceSpec | None:
         """Returns a service by name, or None if it is not configured."""
         return self._services.get(name)
@@ -143,13 +162,13 @@
 
         Raises:
             RefusedError: No route matches, the key is missing or unknown, or
-                the configuration is not fresh.
+                the configuration is not confirmed recently enough.
         """
         if self.config is None:
             raise _retryable_refusal(Reason.NOT_READY)
         route = self.route(host=host, path=path)
         if route is None:
-            self._check_fresh()
+            self.check_final_refusal()
             raise RefusedError(Reason.ROUTE_UNKNOWN)
         if route.anonymous or self.config.accounts is None:
             return Permit(
@@ -193,13 +212,14 @@
 
         Raises:
             RefusedError: The key is missing or unknown, or the configuration
-                is not fresh.
+                is not confirmed recently enough.
         """
         if self.config is None:
             raise _retryable_refusal(Reason.NOT_READY)
         self._check_fresh()
         account = self._accounts.get(key) if key else None
         if account is None:
+            self.check_final_refusal()
             raise RefusedError(
                 Reason.KEY_UNKNOWN if key else Reason.KEY_MISSING
             )
--- a/endivespindle/serving/tests/test_active_config.py
+++ b/endivespindle/serving/tests/test_active_config.py
@@ -11,7 +11,7 @@
 
 
 def _active_config(clock, **kwargs):
-    active = ActiveConfig(clock=clock, max_unconfirmed_s=3.0)
+    active = ActiveConfig(clock=clock, max_unconfirmed_s=3.0, apply_s=2.0)
     active.apply_if_newer(config(**kwargs))
     active.confirm(asked_s=clock.monotonic())
     return active
@@ -24,7 +24,9 @@
 
 
 def test_requests_are_refused_as_not_ready_without_a_configuration():
-    active = ActiveConfig(clock=ManualClock(), max_unconfirmed_s=3.0)
+    active = ActiveConfig(
+        clock=ManualClock(), max_unconfirmed_s=3.0, apply_s=2.0
+    )
     assert _reason(active) is Reason.NOT_READY
 
 
@@ -67,11 +69,32 @@
     active = _active_config(clock)
     clock.advance(3.1)
     assert _reason(active) is Reason.KEY_UNCONFIRMED
-    assert _reason(active, path="/nowhere/") is Reason.KEY_UNCONFIRMED
+    assert _reason(active, path="/nowhere/") is Reason.CONFIG_UNCONFIRMED
     active.confirm(asked_s=clock.monotonic())
     assert active.permit(host="app.example", path="/orders/1", key="k1")
 
 
+@pytest.mark.parametrize(
+    ("path", "key", "reason"),
+    [
+        ("/orders/1", "", Reason.KEY_MISSING),
+        ("/orders/1", "k9", Reason.KEY_UNKNOWN),
+        ("/nowhere/", "k1", Reason.ROUTE_UNKNOWN),
+    ],
+)
+def test_no_refusal_is_final_once_a_change_may_have_been_missed(
+    path, key, reason
+):
+    """A newer configuration may add the route or the key, or open the route."""
+    clock = ManualClock()
+    active = _active_config(clock)
+    clock.advance(2.0)
+    assert _reason(active, path, key) is reason
+    clock.advance(0.01)
+    assert _reason(active, path, key) is Reason.CONFIG_UNCONFIRMED
+    assert active.permit(host="app.example", path="/orders/1", key="k1")
+
+
 def test_anonymous_route_needs_no_confirmation():
     clock = ManualClock()
     active = _active_config(clock, routes=(route(anonymous=True),))
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -125,7 +125,7 @@
             )
         directory.put(server("p0"))
         self.directory = directory
-        held = ActiveConfig(clock=clock, max_unconfirmed_s=3.0)
+        held = ActiveConfig(clock=clock, max_unconfirmed_s=3.0, apply_s=2.0)
         held.apply_if_newer(config())
         self.config = held
         self.link = _Link(store)
--- a/tests/test_configuration_age.py
+++ b/tests/test_configuration_age.py
@@ -114,7 +114,9 @@
             self._spawn(controller.run())
             # The first one becomes the holder of the lease.
             await asyncio.sleep(0.2)
-        self.active = ActiveConfig(clock=parts.clock, max_unconfirmed_s=4.2)
+        self.active = ActiveConfig(
+            clock=parts.clock, max_unconfirmed_s=4.2, apply_s=APPLY_S
+        )
         relayed = RelayedStore(
             store=self.links["g1"],
             peers=self,
