Confirm a change before the pause that collects further ones

Cause: a controller paused 0.3 s after each change before it told its watchers that it had read one. The pause is meant for the next read; the change, the state's age and everything behind it were 0.3 s older than necessary. With changes at the end of each wait the state of a sound controller got 1.6 s old, beyond the 1.5 s at which it reports that it cannot reach the store.

The number of reads and of replies stays: one per pause.

The new test of tests/test_relay.py fails without the change: the version is confirmed 0.3 s late.

--- a/endivespindle/runtime/kind_watcher.py
+++ b/endivespindle/runtime/kind_watcher.py
@@ -7,7 +7,12 @@
 from endivespindle.core.clock import Clock
 from endivespindle.exceptions import PlatformError
 from endivespindle.runtime.telemetry import EventLog
-from endivespindle.store.object_store import ObjectStore, StoredObject
+from endivespindle.store.object_store import (
+    ObjectList,
+    ObjectStore,
+    StoredObject,
+    WatchEvents,
+)
 
 __all__ = ["KindWatcher"]
 
@@ -88,7 +93,7 @@
         while True:
             asked_s = self._clock.monotonic()
             try:
-                asked_s -= await self._list_or_watch()
+                response = await self._list_or_watch()
             except PlatformError as exc:
                 if self._is_connected:
                     self._log.state_change(
@@ -105,14 +110,14 @@
             self._is_connected = True
             backoff_s = _MIN_BACKOFF_S
             if self._on_confirmed is not None and self._version is not None:
-                self._on_confirmed(self._version, asked_s)
+                self._on_confirmed(self._version, asked_s - response.lag_s)
+            is_change = isinstance(response, WatchEvents) and response.objects
+            if is_change and self._coalesce_s:
+                # Changes during this pause arrive in one response.
+                await asyncio.sleep(self._coalesce_s)
 
-    async def _list_or_watch(self) -> float:
-        """Lists or watches once.
-
-        Returns:
-            Age in seconds of the returned state when the call was sent;
-            negative if the state was read later.
+    async def _list_or_watch(self) -> ObjectList | WatchEvents:
+        """Lists or watches once, and applies the response.
 
         Raises:
             PlatformError: The store could not be read.
@@ -121,7 +126,7 @@
             listed = await self._store.list_objects(kind=self._kind)
             self._on_list(listed.objects)
             self._version = listed.version
-            return listed.lag_s
+            return listed
         events = await self._store.watch(
             kind=self._kind, after=self._version, wait_s=self._wait_s
         )
@@ -131,9 +136,6 @@
             return await self._list_or_watch()
         for obj in events.objects:
             self._on_change(obj)
-        if events.objects and self._coalesce_s:
-            # Changes during this pause arrive in one response.
-            await asyncio.sleep(self._coalesce_s)
         # A relay may be behind a version already read from the store.
         self._version = max(self._version, events.version)
-        return events.lag_s
+        return events
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -131,6 +131,40 @@
     _play(story)
 
 
+def test_a_change_is_confirmed_before_the_pause_that_collects_more():
+    """A relay wakes its watchers at once, and still reads the store seldom."""
+
+    async def story(world):
+        confirmed = []
+        relay = KindWatcher(
+            store=world.store,
+            kind="config",
+            wait_s=1.1,
+            clock=world.clock,
+            rng=world.parts.rng,
+            log=world.parts.log,
+            on_list=lambda objects: None,
+            on_change=lambda obj: None,
+            on_confirmed=lambda version, asked_s: confirmed.append(version),
+            coalesce_s=0.3,
+        )
+        task = asyncio.create_task(relay.run())
+        await asyncio.sleep(0.6)
+        await world.write(b"0")
+        await asyncio.sleep(0.01)
+        obj = await world.store.get(kind="config", name="main")
+        assert confirmed[-1] == obj.version
+        confirmed.clear()
+        for number in range(60):
+            await world.write(b"%d" % number)
+            await asyncio.sleep(0.05)
+        # 3 s of changes.
+        assert len(confirmed) <= 3.0 / 0.3 + 1
+        task.cancel()
+
+    _play(story)
+
+
 def test_what_a_relay_tells_is_never_taken_for_newer_than_it_is():
     """Each confirmation is a time at which the store itself was asked."""
 
