Date what a relay or the store returned by when it was asked itself

Cause: a watcher dated the state it received from the begin of its whole call. After a controller that did not reply for 0.9 s, fresh state of the next one counted as 0.9 s older than it was. Keys, final refusals and, at a controller, the report that it cannot reach the store all go by that age, so that one silent controller made others look stale.

--- a/endivespindle/runtime/relay.py
+++ b/endivespindle/runtime/relay.py
@@ -268,18 +268,20 @@
 
     async def list_objects(self, *, kind: str, prefix: str = "") -> ObjectList:
         """Returns the objects of a kind whose names start with a prefix."""
+        start_s = self._clock.monotonic()
         remaining_s, self._wait_for_relay_s = self._wait_for_relay_s, 0.0
         while remaining_s > 0 and not self._usable_relays():
             await asyncio.sleep(_RELAY_POLL_S)
             remaining_s -= _RELAY_POLL_S
         relays = self._usable_relays()
         reply = await self._ask_relays(
-            relays, kind, after=-1, wait_s=_FIRST_READ_WAIT_S
+            relays, kind, after=-1, wait_s=_FIRST_READ_WAIT_S, start_s=start_s
         )
         if reply is None:
+            asked_s = self._clock.monotonic()
             listed = await self._store.list_objects(kind=kind, prefix=prefix)
             self._record_store_reached(relays)
-            return listed
+            return msgspec.structs.replace(listed, lag_s=start_s - asked_s)
         return ObjectList(
             version=reply.version,
             objects=[o for o in reply.objects if o.name.startswith(prefix)],
@@ -290,17 +292,23 @@
         self, *, kind: str, after: int, wait_s: float
     ) -> WatchEvents:
         """Waits for changes of a kind after a version."""
+        start_s = self._clock.monotonic()
         relays = self._usable_relays()
         reply = await self._ask_relays(
-            relays, kind, after=after, wait_s=min(wait_s, self._max_wait_s)
+            relays,
+            kind,
+            after=after,
+            wait_s=min(wait_s, self._max_wait_s),
+            start_s=start_s,
         )
         if reply is None:
+            asked_s = self._clock.monotonic()
             # After relays failed, the last state may be old: do not wait.
             events = await self._store.watch(
                 kind=kind, after=after, wait_s=0.0 if relays else wait_s
             )
             self._record_store_reached(relays)
-            return events
+            return msgspec.structs.replace(events, lag_s=start_s - asked_s)
         return WatchEvents(
             version=reply.version,
             objects=reply.objects,
@@ -319,6 +327,7 @@
         *,
         after: int,
         wait_s: float,
+        start_s: float,
     ) -> RelayReply | None:
         """Returns the reply of the first relay that reaches the store.
 
@@ -326,6 +335,14 @@
         first relay may wait for a change: after a failed attempt the watcher's
         state may be as old as it is allowed to get.
 
+        Args:
+            relays: Relays in the order to ask them.
+            kind: Kind of objects.
+            after: Store version after which changes are requested; negative
+                to request all objects.
+            wait_s: Longest wait of the first relay, in seconds.
+            start_s: Monotonic time from which the age of the reply counts.
+
         Returns:
             The reply; None if the store is to be read instead.
         """
@@ -342,11 +359,12 @@
                 continue
             if reply is None:
                 continue
+            reply.lag_s -= asked_s - start_s
             if not reply.stale:
                 self._selector.record_reply(relay.name)
                 return reply
             if not self._selector.is_stale(relay.name):
-                age_s = reply.lag_s + self._clock.monotonic() - asked_s
+                age_s = reply.lag_s + self._clock.monotonic() - start_s
                 self._on_relay_stale(relay.name, age_s)
             self._selector.record_stale(relay.name)
             wait_s = 0.0
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -192,6 +192,21 @@
     _play(story)
 
 
+def test_state_is_dated_by_the_source_that_gave_it():
+    """Not by the relay that was asked before and did not reply."""
+
+    async def story(world):
+        world.cut = True
+        while not world.shunned:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.01)
+        # The store replied at once, after 0.9 s of waiting for the relay.
+        age_s = world.clock.monotonic() - world.confirmed[-1]
+        assert age_s <= 0.1
+
+    _play(story)
+
+
 def test_a_relay_that_is_cut_off_does_not_speak_for_the_store():
     """Its reply says so, at once, and its age counts from its last read."""
 
