Send limited servers the request rate that they accept

What callers saw: nothing yet.

Cause: the system did not read Server-Limit, the rate that a server in need accepts from all VMs together, and no VM knew what the others send.

Change: the adapter decodes the header into ResponseHead. A gateway reports the limits it knows, with the age of the response that named them, and its demand by service in its update to the controllers; their reply divides each limit by max-min fairness (serving/rate_shares.py) and carries limits and their ends to gateways that get no responses of that server. A gateway spaces its requests at its share (serving/rate_limit.py) and saves at most one. The number of gateways with a share is bounded by the limit, so that those saved requests stay within what the rule allows. Without a share of the last 2 s a gateway takes an equal part. The smallest share that a controller gives counts, as one that has just started knows few gateways. Placement of requests, streams, items and reward calls adds the wait; what would wait beyond the target latency is refused at once as not run, with the wait as Retry-After (backend_limited). A key is checked again after a wait.

Ruled out: an even share for each gateway. Requests come from few of them, the owners of steps, and most of the limit would stay unused. Sharing by rendezvous without messages: a gateway without a share has no way to learn that the limit ended.

--- a/endivespindle/batch/schedule.py
+++ b/endivespindle/batch/schedule.py
@@ -13,7 +13,17 @@
 from endivespindle.batch.submission import expected_output_tokens
 from endivespindle.serving.directory import ServerView
 
-__all__ = ["Placement", "item_remaining_events", "order_items", "place_items"]
+__all__ = [
+    "MAX_START_DELAY_S",
+    "Placement",
+    "item_remaining_events",
+    "order_items",
+    "place_items",
+]
+
+# Longest wait of an item for a server that limits its request rate. Waiting
+# items are placed again at this interval.
+MAX_START_DELAY_S = 0.1
 
 # Requests queued at a server beyond its slots, so that a freed slot is used at
 # once; the round trip is short compared with an item.
@@ -90,9 +100,10 @@
     """Returns the items to send now, each with its server.
 
     Jobs with the earliest due time are placed first. A server accepts items up
-    to its slots and a short queue; the known requests of other VMs count. Of
-    the servers with room, the one expected to finish the completion soonest is
-    chosen, so that long completions go to fast servers.
+    to its slots and a short queue, and at the request rate that it allows; the
+    known requests of other VMs count. Of the servers with room, the one
+    expected to finish the completion soonest is chosen, so that long
+    completions go to fast servers.
 
     Args:
         jobs: Open jobs of this VM.
@@ -195,6 +206,8 @@
     for view in views:
         slots = max(1, view.entry.slots)
         reserved = assigned.get(view.entry.name, 0)
+        if view.rate_limit.start_delay_s(reserved=reserved) > MAX_START_DELAY_S:
+            continue
         load = view.load() + reserved
         if load >= slots + _QUEUE_AHEAD:
             continue
--- a/endivespindle/core/reasons.py
+++ b/endivespindle/core/reasons.py
@@ -85,6 +85,11 @@
         RunState.NOT_RUN,
         "No backend server of this service takes work.",
     )
+    BACKEND_LIMITED = (
+        503,
+        RunState.NOT_RUN,
+        "The backend servers of this service accept no more requests now.",
+    )
     QUEUE_FULL = (429, RunState.NOT_RUN, "The queue is full.")
     ACCOUNT_LIMIT = (
         429,
--- a/endivespindle/platform/headers.py
+++ b/endivespindle/platform/headers.py
@@ -1,5 +1,6 @@
 """Headers of requests and responses on the users' platform."""
 
+import math
 from collections.abc import Iterable, Mapping
 
 from endivespindle.runtime.request_metadata import RequestMetadata
@@ -25,6 +26,7 @@
 _LOAD = "X-Server-Load"
 _NOT_RUN = "X-Not-Executed"
 _LEAVING = "Server-Leaving"
+_LIMIT = "Server-Limit"
 _WEIGHT_VERSION = "X-Weight-Versions"
 _REQUEST_PRIORITY = "X-Request-Priority"
 _WAIT_MS = "X-Wait-Ms"
@@ -138,6 +140,7 @@
         # A response with this status comes from another server.
         leaving=headers.get(_LEAVING, "").strip() == "1"
         and status != _MISDIRECTED,
+        limit_per_s=_parse_limit(headers.get(_LIMIT)),
     )
 
 
@@ -170,6 +173,15 @@
     return ServerLoad(running=int(parts[0]), waiting=int(parts[1]))
 
 
+def _parse_limit(text: str | None) -> float | None:
+    """Parses requests per second; None if missing, malformed or negative."""
+    try:
+        limit = float(text) if text else None
+    except ValueError:
+        return None
+    return limit if limit is not None and 0 <= limit < math.inf else None
+
+
 def _parse_ms_as_s(text: str | None) -> float | None:
     """Converts milliseconds to seconds; None if missing or malformed."""
     try:
--- a/endivespindle/platform/tests/test_headers.py
+++ b/endivespindle/platform/tests/test_headers.py
@@ -1,5 +1,6 @@
 """Headers of requests and responses."""
 
+import pytest
 from multidict import CIMultiDict
 
 from endivespindle.platform.headers import (
@@ -102,3 +103,22 @@
     assert matches_request(CIMultiDict({"X-Request-Id": "r1"}), "r1")
     assert matches_request(CIMultiDict(), "r1")
     assert not matches_request(CIMultiDict({"X-Request-Id": "r0"}), "r1")
+
+
+@pytest.mark.parametrize(
+    ("text", "limit_per_s"),
+    [
+        ("6.4", 6.4),
+        ("0", 0.0),
+        (" 2 ", 2.0),
+        ("", None),
+        ("many", None),
+        ("-1", None),
+        ("inf", None),
+        ("nan", None),
+    ],
+)
+def test_a_rate_limit_is_a_decimal_number_of_requests(text, limit_per_s):
+    headers = {"Server-Limit": text}
+    head = parse_response_head(200, headers, headers.items())
+    assert head.limit_per_s == limit_per_s
--- a/endivespindle/runtime/completion_runner.py
+++ b/endivespindle/runtime/completion_runner.py
@@ -9,11 +9,14 @@
     silence_timeout_s,
 )
 from endivespindle.batch.job import ItemPhase, ItemState
-from endivespindle.batch.schedule import item_remaining_events
+from endivespindle.batch.schedule import (
+    MAX_START_DELAY_S,
+    item_remaining_events,
+)
 from endivespindle.core.clock import Clock
 from endivespindle.core.reasons import Reason, RetryReason
 from endivespindle.exceptions import BackendServerError
-from endivespindle.runtime.forwarding import open_attempt
+from endivespindle.runtime.forwarding import await_start, open_attempt
 from endivespindle.runtime.owned_job import OwnedJob
 from endivespindle.runtime.telemetry import EventLog, NodeMetrics
 from endivespindle.schema.generated.caller import RunState
@@ -123,6 +126,12 @@
             client_account=sub.client_account,
             last_event_id=str(len(state.chunks)) if state.chunks else None,
         )
+        delay_s = view.rate_limit.start_delay_s()
+        if delay_s > MAX_START_DELAY_S:
+            # Several items were placed on the server's next start.
+            state.not_before_s = self._clock.monotonic() + MAX_START_DELAY_S
+            return
+        await await_start(view)
         start_s = self._clock.monotonic()
         try:
             with job.awaiting_response() as mark_answered:
@@ -244,6 +253,7 @@
             and other.accepts_model(sub.model)
             and other.versions.get(sub.model, 0) >= sub.min_version
             and other.load() < other.entry.slots
+            and not other.rate_limit.start_delay_s()
         ]
         return bool(others) and should_migrate(
             interval_s=intervals.average_s,
--- a/endivespindle/runtime/context.py
+++ b/endivespindle/runtime/context.py
@@ -50,3 +50,17 @@
             started_ms=view.entry.started_ms,
             in_flight=view.in_flight,
         )
+
+    def record_server_limit(self, view: ServerView) -> None:
+        """Logs and counts a change of the request rate a server accepts."""
+        limit_per_s = view.rate_limit.limit_per_s
+        if limit_per_s is not None:
+            self.metrics.count_server_limit(view.entry.service)
+        self.log.event(
+            "server_limit_lifted" if limit_per_s is None else "server_limited",
+            server=view.entry.name,
+            service=view.entry.service,
+            limit_per_s=limit_per_s,
+            age_s=round(view.rate_limit.evidence_age_s(), 2),
+            in_flight=view.in_flight,
+        )
--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -43,6 +43,7 @@
 from endivespindle.runtime.kind_watcher import KindWatcher
 from endivespindle.runtime.peer_client import (
     GatewayUpdate,
+    GatewayUpdateReply,
     PeerClient,
     WeightLoadUpdate,
 )
@@ -70,6 +71,7 @@
 from endivespindle.serving.active_config import ActiveConfig
 from endivespindle.serving.calls import OrderResponse, VersionOrder
 from endivespindle.serving.directory import ServerDirectory, ServerView
+from endivespindle.serving.rate_shares import RateShares
 from endivespindle.serving.relay_selection import RelaySelector
 from endivespindle.store.object_store import StatusStore, StoredObject
 from endivespindle.store.stored_lease import StoredLease
@@ -146,6 +148,7 @@
         "_order_backoffs",
         "_ordered_capacity",
         "_peers",
+        "_rate_shares",
         "_required_by_node",
         "_retirements",
         "_sent_loads",
@@ -207,6 +210,7 @@
         self._retirements: set[str] = set()
         self._ordered_capacity: dict[str, dict[str, int]] = {}
         self._slot_demand = SlotDemandTracker(clock=ctx.clock)
+        self._rate_shares = RateShares(clock=ctx.clock)
         self._baseline_counts: dict[str, int] = {}
         self._task: asyncio.Task[None] | None = None
         self._caches = {
@@ -346,10 +350,20 @@
         )
         return reply
 
-    def _apply_gateway_update(self, update: GatewayUpdate) -> None:
+    def _apply_gateway_update(
+        self, update: GatewayUpdate
+    ) -> GatewayUpdateReply:
         self._usage.record(update.counts)
         self._required_by_node[update.counts.node] = update.required
         self._slot_demand.record(update.counts.node, update.wanted)
+        self._rate_shares.record(
+            update.counts.node,
+            demand_per_s=update.demand_per_s,
+            reports=update.limits,
+        )
+        return GatewayUpdateReply(
+            shares=self._rate_shares.shares(update.counts.node)
+        )
 
     async def _run_duties(self) -> None:
         """Runs the duties of the lease holder and the watches they need."""
--- a/endivespindle/runtime/forwarding.py
+++ b/endivespindle/runtime/forwarding.py
@@ -25,16 +25,28 @@
 from endivespindle.serving.placement import place_request
 from endivespindle.serving.retry_after import retry_after_s
 
-__all__ = ["ForwardPlan", "ForwardedResponse", "Forwarder", "open_attempt"]
+__all__ = [
+    "ForwardPlan",
+    "ForwardedResponse",
+    "Forwarder",
+    "await_start",
+    "open_attempt",
+]
 
 # Retries and hedges allowed per request: they add at most a tenth to the load.
 _RETRY_BUDGET_FRACTION = 0.1
 _STATUS_SERVER_ERROR = 500
+# A response with this status comes from another server.
+_STATUS_MISDIRECTED = 421
 # Time for a server to accept a connection, as a fraction of the target latency,
 # and its bounds: two unreachable servers leave time for a third.
 _CONNECT_TARGET_FRACTION = 0.35
 _MIN_CONNECT_TIMEOUT_S = 0.05
 _MAX_CONNECT_TIMEOUT_S = 0.6
+# Bounds of the retry delay of a request that the servers' rate limits do not
+# admit. Other VMs may have room sooner, and limits change within seconds.
+_MIN_LIMITED_RETRY_AFTER_S = 0.05
+_MAX_LIMITED_RETRY_AFTER_S = 2.0
 # Maximum number of attempts that report at once that the request was not run.
 _MAX_NOT_RUN_ATTEMPTS = 4
 
@@ -63,6 +75,19 @@
     may_send: Callable[[], bool] = lambda: True
 
 
+async def await_start(view: ServerView) -> bool:
+    """Waits until a server's rate limit allows the next request of this VM.
+
+    Returns:
+        Whether it had to wait; what was checked before may have changed.
+    """
+    delay_s = view.rate_limit.reserve_start()
+    if not delay_s:
+        return False
+    await asyncio.sleep(delay_s)
+    return True
+
+
 class ForwardedResponse(msgspec.Struct, kw_only=True, frozen=True):
     """A backend server's complete response."""
 
@@ -122,6 +147,8 @@
                 ) from exc
             if response.head.leaving:
                 view.announce_leaving()
+            if response.head.status != _STATUS_MISDIRECTED:
+                view.record_limit(response.head.limit_per_s)
             if response.head.load is not None:
                 view.record_load(
                     running=response.head.load.running,
@@ -209,15 +236,36 @@
         self._budget = RetryBudget(fraction=_RETRY_BUDGET_FRACTION)
         self._latencies: dict[str, LatencyEstimate] = {}
 
-    def choose_server(self, service: str, tried: set[str]) -> ServerView | None:
-        """Returns the server for the next attempt, or None."""
+    def choose_server(
+        self, service: str, tried: set[str], *, max_start_delay_s: float
+    ) -> ServerView | None:
+        """Returns the server for the next attempt, or None.
+
+        Args:
+            service: Service of the request.
+            tried: Names of the servers that it was sent to.
+            max_start_delay_s: Longest wait for a server that limits its
+                request rate, in seconds.
+        """
         return place_request(
             self._directory.available_servers(service),
             tried=tried,
             data_centre=self._data_centre,
             rng=self._rng,
+            max_start_delay_s=max_start_delay_s,
+        )
+
+    def is_limited(self, service: str, tried: set[str]) -> bool:
+        """Returns whether only rate limits keep a request from a server."""
+        return any(
+            view.entry.name not in tried
+            for view in self._directory.available_servers(service)
         )
 
+    def record_demand(self, service: str) -> None:
+        """Records a request for a service, whether a server takes it or not."""
+        self._directory.record_demand(service)
+
     async def forward(
         self, call: ServerCall, plan: ForwardPlan
     ) -> ForwardedResponse:
@@ -227,6 +275,7 @@
             RefusedError: No server ran the request, or its outcome is unknown.
         """
         self._budget.deposit()
+        self.record_demand(plan.service)
         attempts = _AttemptSummary()
         pending: set[asyncio.Task[ForwardedResponse]] = set()
         start_s = self._clock.monotonic()
@@ -236,7 +285,11 @@
                 if remaining_s <= 0:
                     raise self._refusal(plan, attempts, past_deadline=True)
                 if not pending and not self._send_next(
-                    call, plan, attempts, pending
+                    call,
+                    plan,
+                    attempts,
+                    pending,
+                    max_start_delay_s=min(plan.target_latency_s, remaining_s),
                 ):
                     return self._final_failure(plan, attempts)
                 wait_s = min(remaining_s, self._hedge_delay_s(plan, pending))
@@ -267,6 +320,8 @@
         plan: ForwardPlan,
         attempts: _AttemptSummary,
         pending: set[asyncio.Task[ForwardedResponse]],
+        *,
+        max_start_delay_s: float,
     ) -> bool:
         """Starts another attempt if one is allowed and a server is left."""
         if attempts.run_state is not RunState.NOT_RUN and not plan.may_repeat:
@@ -284,8 +339,14 @@
         if not plan.may_send():
             attempts.last_reason = Reason.KEY_UNCONFIRMED
             return False
-        view = self.choose_server(plan.service, attempts.tried_servers)
+        view = self.choose_server(
+            plan.service,
+            attempts.tried_servers,
+            max_start_delay_s=max_start_delay_s,
+        )
         if view is None:
+            if self.is_limited(plan.service, attempts.tried_servers):
+                attempts.last_reason = Reason.BACKEND_LIMITED
             return False
         attempts.tried_servers.add(view.entry.name)
         attempts.sent_count += 1
@@ -297,6 +358,12 @@
     async def _attempt(
         self, view: ServerView, call: ServerCall, plan: ForwardPlan
     ) -> ForwardedResponse:
+        if await await_start(view) and not plan.may_send():
+            raise BackendServerError(
+                "the key can no longer be confirmed",
+                ran=RunState.NOT_RUN,
+                reason=Reason.KEY_UNCONFIRMED,
+            )
         remaining_s = max(0.001, plan.deadline_s - self._clock.monotonic())
         connect_timeout_s = _CONNECT_TARGET_FRACTION * plan.target_latency_s
         call = msgspec.structs.replace(
@@ -348,7 +415,7 @@
         pending: set[asyncio.Task[ForwardedResponse]],
     ) -> None:
         if self._budget.try_withdraw() and self._send_next(
-            call, plan, attempts, pending
+            call, plan, attempts, pending, max_start_delay_s=0.0
         ):
             self._metrics.count_retry(RetryReason.HEDGE)
             self._log.event(
@@ -391,6 +458,19 @@
             return attempts.failed_response
         raise self._refusal(plan, attempts, past_deadline=False)
 
+    def _retry_after_s(self, service: str, reason: Reason) -> float:
+        views = self._directory.available_servers(service)
+        if reason is Reason.BACKEND_LIMITED:
+            delay_s = min(
+                (view.rate_limit.start_delay_s() for view in views),
+                default=_MAX_LIMITED_RETRY_AFTER_S,
+            )
+            return min(
+                _MAX_LIMITED_RETRY_AFTER_S,
+                max(_MIN_LIMITED_RETRY_AFTER_S, delay_s),
+            )
+        return retry_after_s(views, rng=self._rng)
+
     def _refusal(
         self,
         plan: ForwardPlan,
@@ -417,9 +497,7 @@
         return RefusedError(
             reason,
             ran=ran,
-            retry_after_s=retry_after_s(
-                self._directory.available_servers(plan.service), rng=self._rng
-            ),
+            retry_after_s=self._retry_after_s(plan.service, reason),
         )
 
 
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -37,6 +37,7 @@
 from endivespindle.runtime.usage_counter import UsageCounter
 from endivespindle.serving.active_config import ActiveConfig
 from endivespindle.serving.directory import ServerDirectory
+from endivespindle.serving.rate_shares import LimitShare, merge_shares
 from endivespindle.serving.relay_selection import RelaySelector
 from endivespindle.store.object_store import ObjectStore
 
@@ -131,7 +132,10 @@
             apply_s=settings.timing.config_apply_s,
         )
         self._directory = ServerDirectory(
-            clock=clock, on_leaving=parts.record_leaving_server
+            clock=clock,
+            on_leaving=parts.record_leaving_server,
+            on_limit=parts.record_server_limit,
+            count_vms=lambda: len(parts.fleet.peers(NodeRole.GATEWAY)) + 1,
         )
         self._relay_selector = RelaySelector(
             vm=settings.name,
@@ -367,6 +371,7 @@
                 and last_sent.counts.windows == update.counts.windows
                 and last_sent.required == update.required
                 and last_sent.wanted == update.wanted
+                and not update.limits
             )
             if is_unchanged and now_s - sent_at_s < _UPDATE_MAX_INTERVAL_S:
                 continue
@@ -391,25 +396,36 @@
             if is_recent and sub.model:
                 known = required.get(sub.model, 0)
                 required[sub.model] = max(known, sub.min_version)
+        wanted = self._runner.slot_demand()
+        limits = self._directory.limit_reports()
+        demand_per_s: dict[str, float] = {}
+        if limits:
+            demand_per_s = self._directory.demand_per_s()
+            for service, slots in wanted.items():
+                demand_per_s[service] = demand_per_s.get(service, 0.0) + slots
         return GatewayUpdate(
             counts=self._usage.snapshot(),
             required=required,
-            wanted=self._runner.slot_demand(),
+            wanted=wanted,
+            limits=limits,
+            demand_per_s=demand_per_s,
         )
 
     async def _send_updates(self) -> None:
         update = self._build_update()
         nodes = self._ctx.fleet.peers(NodeRole.CONTROLLER)
-        await asyncio.gather(
+        replies = await asyncio.gather(
             *(self._send_update(node, update) for node in nodes)
         )
+        self._directory.apply_shares(merge_shares(replies))
 
     async def _send_update(
         self, node: NodeRecord, update: GatewayUpdate
-    ) -> None:
+    ) -> list[LimitShare]:
         with contextlib.suppress(PeerError):
             # Updates carry absolute values: the next one replaces a lost one.
-            await self._peers.post(node, "/node/news", update)
+            return (await self._peers.send_update(node, update)).shares
+        return []
 
 
 async def _listen(server: web.Server, endpoint: Endpoint) -> web.ServerRunner:
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -17,7 +17,7 @@
     restore_items,
     snapshot_items,
 )
-from endivespindle.batch.schedule import place_items
+from endivespindle.batch.schedule import MAX_START_DELAY_S, place_items
 from endivespindle.core.clock import Clock
 from endivespindle.exceptions import ConflictError, PlatformError
 from endivespindle.runtime.completion_runner import CompletionRunner
@@ -46,7 +46,7 @@
 _REQUEST_CHECK_INTERVAL_S = 0.2
 # Longest time between two placement rounds while items wait: the server loads
 # reported by responses count for less as they age, which may free a slot.
-_PLACEMENT_INTERVAL_S = 0.1
+_PLACEMENT_INTERVAL_S = MAX_START_DELAY_S
 # Lost jobs whose partial completions are kept for the new owner. A node runs
 # the steps of one or two trainers at a time.
 _MAX_LOST_JOBS = 4
--- a/endivespindle/runtime/peer_client.py
+++ b/endivespindle/runtime/peer_client.py
@@ -11,9 +11,11 @@
 from endivespindle.controller.usage_windows import NodeUsageCounts
 from endivespindle.exceptions import PeerError
 from endivespindle.runtime.fleet_view import NodeRecord
+from endivespindle.serving.rate_shares import LimitReport, LimitShare
 
 __all__ = [
     "GatewayUpdate",
+    "GatewayUpdateReply",
     "ItemSnapshots",
     "JobOwnerUpdate",
     "JobRelease",
@@ -117,11 +119,26 @@
         counts: Requests started, by usage window.
         required: Oldest weight version that its open jobs accept, by model.
         wanted: Slot demand of its open jobs, by service.
+        limits: Servers that limit their request rate, as it knows.
+        demand_per_s: Requests per second that it would send, by service; only
+            if there are such servers.
     """
 
     counts: NodeUsageCounts
     required: dict[str, int]
     wanted: dict[str, int]
+    limits: list[LimitReport] = []
+    demand_per_s: dict[str, float] = {}
+
+
+class GatewayUpdateReply(msgspec.Struct, kw_only=True):
+    """Reply to a `GatewayUpdate`.
+
+    Attributes:
+        shares: Servers that limit their request rate, and the gateway's share.
+    """
+
+    shares: list[LimitShare] = []
 
 
 class WeightLoadUpdate(msgspec.Struct, kw_only=True):
@@ -183,6 +200,20 @@
         except msgspec.MsgspecError as exc:
             raise PeerError(f"{node.name}: {exc}") from exc
 
+    async def send_update(
+        self, node: NodeRecord, update: GatewayUpdate
+    ) -> GatewayUpdateReply:
+        """Sends a gateway's update to a controller and returns its reply.
+
+        Raises:
+            PeerError: The node did not respond, or its reply is malformed.
+        """
+        body = await self.post(node, "/node/news", update)
+        try:
+            return msgspec.msgpack.decode(body, type=GatewayUpdateReply)
+        except msgspec.MsgspecError as exc:
+            raise PeerError(f"{node.name}: {exc}") from exc
+
     async def post(
         self,
         node: NodeRecord,
--- a/endivespindle/runtime/peer_server.py
+++ b/endivespindle/runtime/peer_server.py
@@ -9,6 +9,7 @@
 from endivespindle.batch.submission import BatchSubmission
 from endivespindle.runtime.peer_client import (
     GatewayUpdate,
+    GatewayUpdateReply,
     ItemSnapshots,
     JobOwnerUpdate,
     JobRelease,
@@ -93,13 +94,13 @@
         self._handlers["/jobs/release"] = handle_release
 
     def serve_gateway_updates(
-        self, on_update: Callable[[GatewayUpdate], None]
+        self, on_update: Callable[[GatewayUpdate], GatewayUpdateReply]
     ) -> None:
         """Registers the handler of updates from gateways."""
 
         async def handle_update(body: bytes) -> bytes:
-            on_update(_decode(body, GatewayUpdate))
-            return b""
+            reply = on_update(_decode(body, GatewayUpdate))
+            return msgspec.msgpack.encode(reply)
 
         self._handlers["/node/news"] = handle_update
 
--- a/endivespindle/runtime/streaming.py
+++ b/endivespindle/runtime/streaming.py
@@ -13,6 +13,7 @@
 from endivespindle.runtime.forwarding import (
     Forwarder,
     ForwardPlan,
+    await_start,
     open_attempt,
 )
 from endivespindle.runtime.telemetry import EventLog, NodeMetrics
@@ -105,6 +106,7 @@
                 closed.
         """
         progress = _StreamProgress(call.last_event_id)
+        self._forwarder.record_demand(plan.service)
         while True:
             try:
                 resp = await self._attempt(
@@ -144,13 +146,21 @@
             progress.last_reason = Reason.KEY_UNCONFIRMED
             return None
         view = self._forwarder.choose_server(
-            plan.service, progress.tried_servers
+            plan.service,
+            progress.tried_servers,
+            max_start_delay_s=plan.target_latency_s,
         )
         if view is None:
+            if self._forwarder.is_limited(plan.service, progress.tried_servers):
+                progress.last_reason = Reason.BACKEND_LIMITED
             progress.not_run_count = _MAX_NOT_RUN_ATTEMPTS
             return None
         progress.tried_servers.add(view.entry.name)
         progress.sent_count += 1
+        if await await_start(view) and not plan.may_send():
+            progress.not_run_count = _MAX_NOT_RUN_ATTEMPTS
+            progress.last_reason = Reason.KEY_UNCONFIRMED
+            return None
         remaining_s = max(0.001, plan.deadline_s - self._clock.monotonic())
         call = msgspec.structs.replace(
             call, deadline_s=remaining_s, last_event_id=progress.last_event_id
--- a/endivespindle/runtime/telemetry.py
+++ b/endivespindle/runtime/telemetry.py
@@ -160,7 +160,7 @@
 class NodeMetrics(Metrics):
     """Counters of a node, and a histogram of request latencies."""
 
-    __slots__ = ("_latency", "_leaving_servers")
+    __slots__ = ("_latency", "_leaving_servers", "_server_limits")
 
     def __init__(self) -> None:
         super().__init__()
@@ -175,6 +175,15 @@
             "Backend servers whose responses announced their shutdown.",
         )
 
+        self._server_limits = self._make_counter(
+            "server_limits_total",
+            "Limits of their request rate that backend servers named anew.",
+        )
+
+    def count_server_limit(self, service: str) -> None:
+        """Counts a server that named another limit of its request rate."""
+        self._server_limits.inc({"service": service})
+
     def count_leaving_server(self, service: str) -> None:
         """Counts a server whose response announced its shutdown."""
         self._leaving_servers.inc({"service": service})
--- a/endivespindle/serving/calls.py
+++ b/endivespindle/serving/calls.py
@@ -81,6 +81,8 @@
             reported.
         load: Reported load, if any.
         leaving: Whether the server announces its shutdown.
+        limit_per_s: Requests per second that the server accepts from all VMs;
+            None if it names no limit.
     """
 
     status: int
@@ -90,6 +92,7 @@
     weight_version: int | None = None
     load: ServerLoad | None = None
     leaving: bool = False
+    limit_per_s: float | None = None
 
 
 class StreamEvent(msgspec.Struct, kw_only=True, frozen=True):
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -1,7 +1,7 @@
 """Backend servers known to one VM, with their observed state."""
 
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 import msgspec
 
@@ -12,6 +12,9 @@
     AvailabilityEvent,
     next_availability,
 )
+from endivespindle.serving.rate_limit import ServerRateLimit
+from endivespindle.serving.rate_meter import RateMeter
+from endivespindle.serving.rate_shares import LimitReport, LimitShare
 
 __all__ = ["ServerDirectory", "ServerEntry", "ServerView"]
 
@@ -79,10 +82,13 @@
         entry: Its registered entry.
         clock: Clock of this VM.
         on_leaving: Called when a response first announces its shutdown.
+        on_limit: Called when the request rate that it accepts changes.
+        count_vms: Returns the number of VMs that may send it requests.
         is_leaving: Whether a response announced its shutdown before.
 
     Attributes:
         entry: Its registered entry.
+        rate_limit: Request rate that it accepts.
         availability: Whether it accepts new requests.
         in_flight: Number of this VM's requests at the server.
         versions: Weight version by model, by the newest update from any
@@ -101,6 +107,7 @@
         "_last_used_s",
         "_model_paused_until_s",
         "_on_leaving",
+        "_on_limit",
         "_other_load",
         "_other_load_seen_s",
         "_paused_until_s",
@@ -115,6 +122,7 @@
         "event_interval_s",
         "failure_rate",
         "in_flight",
+        "rate_limit",
         "versions",
     )
 
@@ -124,10 +132,14 @@
         entry: ServerEntry,
         clock: Clock,
         on_leaving: Callable[["ServerView"], None],
+        on_limit: Callable[["ServerView"], None],
+        count_vms: Callable[[], int],
         is_leaving: bool = False,
     ):
         self._clock = clock
         self._on_leaving = on_leaving
+        self._on_limit = on_limit
+        self.rate_limit = ServerRateLimit(clock=clock, count_vms=count_vms)
         self._consecutive_failures = 0
         self._model_paused_until_s: dict[str, float] = {}
         self._other_load = 0.0
@@ -169,6 +181,19 @@
         if before is not self.availability:
             self._on_leaving(self)
 
+    def record_limit(
+        self, limit_per_s: float | None, *, age_s: float = 0.0
+    ) -> None:
+        """Records the request rate that a response named.
+
+        Args:
+            limit_per_s: Requests per second from all VMs; None if it named
+                none.
+            age_s: Seconds since the response was received.
+        """
+        if self.rate_limit.record(limit_per_s, age_s=age_s):
+            self._on_limit(self)
+
     def mark_removed(self) -> None:
         """Records that the server was removed from the list of servers."""
         self._apply(AvailabilityEvent.REMOVED)
@@ -344,18 +369,34 @@
         clock: Clock of this VM.
         on_leaving: Called when a response first announces the shutdown of a
             server.
+        on_limit: Called when the request rate that a server accepts changes.
+        count_vms: Returns the number of VMs that may send requests.
     """
 
-    __slots__ = ("_by_service", "_clock", "_leaving", "_on_leaving", "_views")
+    __slots__ = (
+        "_by_service",
+        "_clock",
+        "_count_vms",
+        "_demand",
+        "_leaving",
+        "_on_leaving",
+        "_on_limit",
+        "_views",
+    )
 
     def __init__(
         self,
         *,
         clock: Clock,
-        on_leaving: Callable[[ServerView], None] | None = None,
+        on_leaving: Callable[[ServerView], None] = lambda view: None,
+        on_limit: Callable[[ServerView], None] = lambda view: None,
+        count_vms: Callable[[], int] = lambda: 1,
     ):
         self._clock = clock
         self._on_leaving = on_leaving
+        self._on_limit = on_limit
+        self._count_vms = count_vms
+        self._demand: dict[str, RateMeter] = {}
         self._leaving = LeavingServers()
         self._views: dict[str, ServerView] = {}
         self._by_service: dict[str, dict[str, ServerView]] = {}
@@ -392,6 +433,8 @@
             entry=entry,
             clock=self._clock,
             on_leaving=self._record_leaving,
+            on_limit=self._on_limit,
+            count_vms=self._count_vms,
             is_leaving=self._leaving.is_leaving(
                 entry.name, incarnation=entry.started_ms
             ),
@@ -412,9 +455,46 @@
         views = self._by_service.get(service, {}).values()
         return [view for view in views if view.accepts_requests()]
 
+    def record_demand(self, service: str) -> None:
+        """Records a request for a service, whether a server takes it or not."""
+        meter = self._demand.get(service)
+        if meter is None:
+            meter = self._demand[service] = RateMeter(clock=self._clock)
+        meter.record()
+
+    def demand_per_s(self) -> dict[str, float]:
+        """Returns the recent requests per second, by service."""
+        return {
+            service: round(meter.rate_per_s(), 2)
+            for service, meter in self._demand.items()
+        }
+
+    def limit_reports(self) -> list[LimitReport]:
+        """Returns the limits of servers, and those lifted lately."""
+        return [
+            LimitReport(
+                server=view.entry.name,
+                started_ms=view.entry.started_ms,
+                service=view.entry.service,
+                limit_per_s=view.rate_limit.limit_per_s,
+                age_s=view.rate_limit.evidence_age_s(),
+            )
+            for view in self._views.values()
+            if view.rate_limit.is_reported()
+        ]
+
+    def apply_shares(self, shares: Iterable[LimitShare]) -> None:
+        """Applies limits that other VMs reported, and this VM's shares."""
+        for share in shares:
+            report = share.report
+            view = self._views.get(report.server)
+            if view is None or view.entry.started_ms != report.started_ms:
+                continue
+            view.record_limit(report.limit_per_s, age_s=report.age_s)
+            view.rate_limit.assign_share(share.share_per_s)
+
     def _record_leaving(self, view: ServerView) -> None:
         self._leaving.mark_leaving(
             view.entry.name, incarnation=view.entry.started_ms
         )
-        if self._on_leaving is not None:
-            self._on_leaving(view)
+        self._on_leaving(view)
--- a/endivespindle/serving/placement.py
+++ b/endivespindle/serving/placement.py
@@ -1,5 +1,6 @@
 """Choice of the backend server for an attempt of a request."""
 
+import math
 import random
 from collections.abc import Collection, Sequence
 
@@ -26,10 +27,10 @@
     """Returns the delay a server is expected to add, in seconds.
 
     Load pattern: a burst over servers of different speed, some of which have
-    become slow or fail part of their requests while their health check passes.
-    Each request in flight beyond the slots waits for a full service time. A
-    failing server counts as slow, so that it gets few requests but is tried
-    again.
+    become slow or fail part of their requests while their health check passes,
+    or limit their request rate. Each request in flight beyond the slots waits
+    for a full service time. A failing server counts as slow, so that it gets
+    few requests but is tried again.
     """
     slots = max(1, view.entry.slots)
     duration_s = view.duration_s or _DEFAULT_DURATION_S
@@ -41,7 +42,7 @@
         delay_s *= 1 + _REMOTE_FRACTION
     if not view.is_warm():
         delay_s *= 1 + _NEW_CONNECTION_FRACTION
-    return delay_s
+    return delay_s + view.rate_limit.start_delay_s()
 
 
 def place_request(
@@ -50,6 +51,7 @@
     tried: Collection[str],
     data_centre: str,
     rng: random.Random,
+    max_start_delay_s: float = math.inf,
 ) -> ServerView | None:
     """Returns the server for the next attempt of a request.
 
@@ -63,15 +65,22 @@
         tried: Names of the servers that this request was sent to.
         data_centre: Data centre of this VM.
         rng: Source of the random candidates.
+        max_start_delay_s: Longest wait for a server that limits its request
+            rate, in seconds.
 
     Returns:
-        A server, or None if all were tried.
+        A server, or None if no untried one accepts the request in time.
 
     References:
         Mitzenmacher, "The Power of Two Choices in Randomized Load
         Balancing", IEEE TPDS 12(10), 2001.
     """
-    untried = [view for view in views if view.entry.name not in tried]
+    untried = [
+        view
+        for view in views
+        if view.entry.name not in tried
+        and view.rate_limit.start_delay_s() <= max_start_delay_s
+    ]
     healthy = [view for view in untried if not view.is_paused()]
     candidates = healthy or untried
     if not candidates:
--- /dev/null
+++ b/endivespindle/serving/tests/test_rate_shares.py
@@ -0,0 +1,135 @@
+"""Division of the limits of servers among VMs."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from endivespindle.core.clock import ManualClock
+from endivespindle.serving.rate_shares import (
+    LimitReport,
+    LimitShare,
+    RateShares,
+    merge_shares,
+    split_rate,
+)
+
+
+def _report(server="s1", limit=4.0, age=0.0, **changes):
+    fields = {
+        "server": server,
+        "started_ms": 1,
+        "service": "plain",
+        "limit_per_s": limit,
+        "age_s": age,
+    }
+    return LimitReport(**(fields | changes))
+
+
+def _share_of(shares, vm, server="s1"):
+    return next(
+        share for share in shares.shares(vm) if share.report.server == server
+    )
+
+
+@given(
+    limit=st.floats(0.1, 200.0),
+    demands=st.dictionaries(
+        st.integers(0, 300).map(lambda n: f"g{n}"),
+        st.floats(0.0, 500.0),
+        min_size=1,
+        max_size=60,
+    ),
+)
+def test_the_parts_add_up_to_the_limit_and_are_few(limit, demands):
+    rates = split_rate(limit, demands)
+    assert sum(rates.values()) == pytest.approx(limit)
+    assert min(rates.values()) >= -1e-9
+    # Each VM may send one request at the same moment: with the rate itself
+    # this stays within one and a half times the limit in 4 s, and 5 requests.
+    assert 4 * limit + len(rates) <= 6 * limit + 5
+
+
+def test_a_busy_vm_gets_what_the_others_do_not_need():
+    """Pattern: the owner of a step, and callers of all other VMs."""
+    rates = split_rate(
+        10.0, {"owner": 30.0, **{f"g{n}": 0.2 for n in range(7)}}
+    )
+    assert rates["g0"] == pytest.approx(0.25)
+    assert rates["owner"] == pytest.approx(10.0 - 7 * 0.25)
+
+
+def test_no_vm_gets_more_than_another_that_lacks_some():
+    rates = split_rate(6.0, {"a": 100.0, "b": 5.0, "c": 0.4})
+    assert rates["a"] == pytest.approx(rates["b"])
+
+
+def test_vms_of_similar_demand_keep_their_shares():
+    demands = {f"g{n}": 1.0 + 0.01 * n for n in range(40)}
+    before = split_rate(2.0, demands)
+    demands = {name: 2.1 - demand for name, demand in demands.items()}
+    after = split_rate(2.0, demands, preferred=before.keys())
+    assert after.keys() == before.keys()
+
+
+def test_shares_follow_the_demand_of_each_vm():
+    shares = RateShares(clock=ManualClock())
+    shares.record("a", demand_per_s={"plain": 9.0}, reports=[_report()])
+    shares.record("b", demand_per_s={}, reports=[])
+    assert _share_of(shares, "a").share_per_s > 3.5
+    assert _share_of(shares, "b").share_per_s < 0.5
+    assert _share_of(shares, "b").report.limit_per_s == 4.0
+
+
+def test_a_vm_that_no_longer_reports_leaves_its_share_to_others():
+    clock = ManualClock()
+    shares = RateShares(clock=clock)
+    shares.record("a", demand_per_s={"plain": 9.0}, reports=[_report()])
+    clock.advance(2.0)
+    shares.record("b", demand_per_s={"plain": 9.0}, reports=[])
+    assert _share_of(shares, "b").share_per_s == pytest.approx(2.0)
+    clock.advance(1.5)
+    shares.record("b", demand_per_s={"plain": 9.0}, reports=[])
+    assert _share_of(shares, "b").share_per_s == pytest.approx(4.0)
+
+
+def test_the_newest_report_of_a_server_counts():
+    clock = ManualClock()
+    shares = RateShares(clock=clock)
+    shares.record("a", demand_per_s={}, reports=[_report(limit=None)])
+    shares.record("b", demand_per_s={}, reports=[_report(age=1.0)])
+    assert _share_of(shares, "a").report.limit_per_s is None
+    clock.advance(2.0)
+    shares.record("b", demand_per_s={}, reports=[_report(limit=3.0)])
+    assert _share_of(shares, "a").report.limit_per_s == 3.0
+
+
+def test_a_new_incarnation_replaces_the_report_of_the_old_one():
+    shares = RateShares(clock=ManualClock())
+    shares.record("a", demand_per_s={}, reports=[_report()])
+    shares.record(
+        "b",
+        demand_per_s={},
+        reports=[_report(limit=None, age=5.0, started_ms=2)],
+    )
+    assert _share_of(shares, "a").report.started_ms == 2
+
+
+def test_a_lifted_limit_is_forgotten_after_a_while():
+    clock = ManualClock()
+    shares = RateShares(clock=clock)
+    shares.record("a", demand_per_s={}, reports=[_report(limit=None)])
+    clock.advance(11.0)
+    shares.record("a", demand_per_s={}, reports=[])
+    assert shares.shares("a") == []
+
+
+def test_a_controller_that_knows_few_vms_does_not_raise_a_share():
+    """It has just started, or cannot reach the others."""
+    replies = [
+        [LimitShare(report=_report(age=0.3), share_per_s=0.5)],
+        [LimitShare(report=_report(limit=None, age=0.1), share_per_s=4.0)],
+        [],
+    ]
+    (merged,) = merge_shares(replies)
+    assert merged.share_per_s == 0.5
+    assert merged.report.limit_per_s is None
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 
 import pytest
 
+from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import RefusedError
 from endivespindle.platform.headers import parse_response_head
 from endivespindle.runtime.forwarding import Forwarder, ForwardPlan
@@ -13,6 +15,7 @@
 from endivespindle.schema.generated.caller import RunState
 from endivespindle.serving.calls import ServerApi, ServerCall, ServerResponse
 from endivespindle.serving.directory import ServerDirectory
+from endivespindle.serving.rate_shares import RateShares, merge_shares
 from endivespindle.serving.tests.configs import server
 from tests.virtual_loop import LoopClock, run_virtual
 
@@ -75,12 +78,12 @@
 class _Gateway:
     """Forwards the requests of its callers."""
 
-    def __init__(self, name, clock, api, seed):
+    def __init__(self, name, clock, api, *, seed, vms):
         self.name = name
         self.clock = clock
-        self.directory = ServerDirectory(clock=clock)
-        for name in SERVERS:
-            self.directory.put(server(name))
+        self.directory = ServerDirectory(clock=clock, count_vms=lambda: vms)
+        for server_name in SERVERS:
+            self.directory.put(server(server_name))
         self.forwarder = Forwarder(
             api=api,
             directory=self.directory,
@@ -92,7 +95,7 @@
         )
         self.outcomes = []
 
-    async def call(self, number):
+    async def call(self, number, *, may_send=lambda: True):
         start_s = self.clock.monotonic()
         plan = ForwardPlan(
             route="orders",
@@ -101,6 +104,7 @@
             max_attempts=2,
             target_latency_s=0.15,
             deadline_s=start_s + 2.0,
+            may_send=may_send,
         )
         call = ServerCall(
             request_id=f"{self.name}-{number}",
@@ -125,17 +129,45 @@
         self.clock = LoopClock(loop=asyncio.get_running_loop())
         self.api = _Servers(self.clock, limits)
         self.gateways = [
-            _Gateway(f"g{number}", self.clock, self.api, seed=number)
+            _Gateway(
+                f"g{number}",
+                self.clock,
+                self.api,
+                seed=number,
+                vms=len(rates),
+            )
             for number in range(len(rates))
         ]
         self._rates = rates
+        # As two controllers do it.
+        self._shares = [RateShares(clock=self.clock) for _ in range(2)]
+
+    async def _send_updates(self, gateway):
+        """Reports to the controllers and applies their replies."""
+        while True:
+            await asyncio.sleep(0.25)
+            reports = gateway.directory.limit_reports()
+            demand_per_s = gateway.directory.demand_per_s() if reports else {}
+            replies = []
+            for shares in self._shares:
+                shares.record(
+                    gateway.name, demand_per_s=demand_per_s, reports=reports
+                )
+                replies.append(shares.shares(gateway.name))
+            gateway.directory.apply_shares(merge_shares(replies))
 
     async def run(self):
+        updates = [
+            asyncio.create_task(self._send_updates(gateway))
+            for gateway in self.gateways
+        ]
         sources = [
             asyncio.create_task(self._press(gateway, rate))
             for gateway, rate in zip(self.gateways, self._rates, strict=True)
         ]
         await asyncio.gather(*sources)
+        for task in updates:
+            task.cancel()
 
     async def _press(self, gateway, rate):
         rng = random.Random(rate)
@@ -189,6 +221,25 @@
         assert world.most_in_window(name) <= _allowed(limit_per_s)
 
 
+def test_a_key_withdrawn_while_a_request_waited_is_not_used():
+    """The limit admits the request later; its key is checked again then."""
+
+    async def run():
+        clock = LoopClock(loop=asyncio.get_running_loop())
+        api = _Servers(clock, {})
+        gateway = _Gateway("g0", clock, api, seed=1, vms=1)
+        for view in gateway.directory:
+            view.record_limit(10.0)
+        allowed = itertools.chain([True], itertools.repeat(False))
+        await gateway.call(1, may_send=lambda: next(allowed))
+        ((_, _, exc),) = gateway.outcomes
+        assert exc.reason is Reason.KEY_UNCONFIRMED
+        assert exc.ran is RunState.NOT_RUN
+        assert not api.arrivals
+
+    run_virtual(run())
+
+
 def test_what_limited_servers_cannot_take_is_refused_at_once_as_not_run():
     world = _play(_LIMITS["all_limited"], _RATES["one_busy_vm"])
     refused = [
