Send limited servers bursts, and reserve a start when a server is chosen

A gateway now has a token bucket whose burst goes with its share: together 1.5 s of the limit and 4 requests, which leaves room for shares that change hands. The start is reserved when the server is chosen: 36 requests of one moment all chose the same free start before, and waited up to 2 s (test steps_in_turn). Requests refused together are told different times to return.

--- a/endivespindle/runtime/completion_runner.py
+++ b/endivespindle/runtime/completion_runner.py
@@ -16,7 +16,7 @@
 from endivespindle.core.clock import Clock
 from endivespindle.core.reasons import Reason, RetryReason
 from endivespindle.exceptions import BackendServerError
-from endivespindle.runtime.forwarding import await_start, open_attempt
+from endivespindle.runtime.forwarding import open_attempt
 from endivespindle.runtime.owned_job import OwnedJob
 from endivespindle.runtime.telemetry import EventLog, NodeMetrics
 from endivespindle.schema.generated.caller import RunState
@@ -126,12 +126,13 @@
             client_account=sub.client_account,
             last_event_id=str(len(state.chunks)) if state.chunks else None,
         )
-        delay_s = view.rate_limit.start_delay_s()
-        if delay_s > MAX_START_DELAY_S:
+        if view.rate_limit.start_delay_s() > MAX_START_DELAY_S:
             # Several items were placed on the server's next start.
             state.not_before_s = self._clock.monotonic() + MAX_START_DELAY_S
             return
-        await await_start(view)
+        delay_s = view.rate_limit.reserve_start()
+        if delay_s:
+            await asyncio.sleep(delay_s)
         start_s = self._clock.monotonic()
         try:
             with job.awaiting_response() as mark_answered:
--- a/endivespindle/runtime/forwarding.py
+++ b/endivespindle/runtime/forwarding.py
@@ -29,7 +29,6 @@
     "ForwardPlan",
     "ForwardedResponse",
     "Forwarder",
-    "await_start",
     "open_attempt",
 ]
 
@@ -43,10 +42,10 @@
 _CONNECT_TARGET_FRACTION = 0.35
 _MIN_CONNECT_TIMEOUT_S = 0.05
 _MAX_CONNECT_TIMEOUT_S = 0.6
-# Bounds of the retry delay of a request that the servers' rate limits do not
+# Bounds of the earliest retry of a request that the servers' rate limits do not
 # admit. Other VMs may have room sooner, and limits change within seconds.
 _MIN_LIMITED_RETRY_AFTER_S = 0.05
-_MAX_LIMITED_RETRY_AFTER_S = 2.0
+_MAX_LIMITED_RETRY_AFTER_S = 1.0
 # Maximum number of attempts that report at once that the request was not run.
 _MAX_NOT_RUN_ATTEMPTS = 4
 
@@ -75,19 +74,6 @@
     may_send: Callable[[], bool] = lambda: True
 
 
-async def await_start(view: ServerView) -> bool:
-    """Waits until a server's rate limit allows the next request of this VM.
-
-    Returns:
-        Whether it had to wait; what was checked before may have changed.
-    """
-    delay_s = view.rate_limit.reserve_start()
-    if not delay_s:
-        return False
-    await asyncio.sleep(delay_s)
-    return True
-
-
 class ForwardedResponse(msgspec.Struct, kw_only=True, frozen=True):
     """A backend server's complete response."""
 
@@ -238,22 +224,29 @@
 
     def choose_server(
         self, service: str, tried: set[str], *, max_start_delay_s: float
-    ) -> ServerView | None:
-        """Returns the server for the next attempt, or None.
+    ) -> tuple[ServerView, float] | None:
+        """Returns the server for the next attempt, and reserves its start.
 
         Args:
             service: Service of the request.
             tried: Names of the servers that it was sent to.
             max_start_delay_s: Longest wait for a server that limits its
                 request rate, in seconds.
+
+        Returns:
+            The server and the seconds until its rate limit allows the request;
+            None if no server is left.
         """
-        return place_request(
+        view = place_request(
             self._directory.available_servers(service),
             tried=tried,
             data_centre=self._data_centre,
             rng=self._rng,
             max_start_delay_s=max_start_delay_s,
         )
+        if view is None:
+            return None
+        return view, view.rate_limit.reserve_start()
 
     def is_limited(self, service: str, tried: set[str]) -> bool:
         """Returns whether only rate limits keep a request from a server."""
@@ -339,31 +332,41 @@
         if not plan.may_send():
             attempts.last_reason = Reason.KEY_UNCONFIRMED
             return False
-        view = self.choose_server(
+        chosen = self.choose_server(
             plan.service,
             attempts.tried_servers,
             max_start_delay_s=max_start_delay_s,
         )
-        if view is None:
+        if chosen is None:
             if self.is_limited(plan.service, attempts.tried_servers):
                 attempts.last_reason = Reason.BACKEND_LIMITED
             return False
+        view, start_delay_s = chosen
         attempts.tried_servers.add(view.entry.name)
         attempts.sent_count += 1
-        task = asyncio.create_task(self._attempt(view, call, plan))
+        task = asyncio.create_task(
+            self._attempt(view, call, plan, start_delay_s=start_delay_s)
+        )
         attempts.started_views[task] = view
         pending.add(task)
         return True
 
     async def _attempt(
-        self, view: ServerView, call: ServerCall, plan: ForwardPlan
+        self,
+        view: ServerView,
+        call: ServerCall,
+        plan: ForwardPlan,
+        *,
+        start_delay_s: float,
     ) -> ForwardedResponse:
-        if await await_start(view) and not plan.may_send():
-            raise BackendServerError(
-                "the key can no longer be confirmed",
-                ran=RunState.NOT_RUN,
-                reason=Reason.KEY_UNCONFIRMED,
-            )
+        if start_delay_s:
+            await asyncio.sleep(start_delay_s)
+            if not plan.may_send():
+                raise BackendServerError(
+                    "the key can no longer be confirmed",
+                    ran=RunState.NOT_RUN,
+                    reason=Reason.KEY_UNCONFIRMED,
+                )
         remaining_s = max(0.001, plan.deadline_s - self._clock.monotonic())
         connect_timeout_s = _CONNECT_TARGET_FRACTION * plan.target_latency_s
         call = msgspec.structs.replace(
@@ -465,10 +468,12 @@
                 (view.rate_limit.start_delay_s() for view in views),
                 default=_MAX_LIMITED_RETRY_AFTER_S,
             )
-            return min(
+            earliest_s = min(
                 _MAX_LIMITED_RETRY_AFTER_S,
                 max(_MIN_LIMITED_RETRY_AFTER_S, delay_s),
             )
+            # Requests that are refused together do not return together.
+            return self._rng.uniform(earliest_s, 2 * earliest_s)
         return retry_after_s(views, rng=self._rng)
 
     def _refusal(
--- a/endivespindle/runtime/streaming.py
+++ b/endivespindle/runtime/streaming.py
@@ -13,7 +13,6 @@
 from endivespindle.runtime.forwarding import (
     Forwarder,
     ForwardPlan,
-    await_start,
     open_attempt,
 )
 from endivespindle.runtime.telemetry import EventLog, NodeMetrics
@@ -145,19 +144,22 @@
             progress.not_run_count = _MAX_NOT_RUN_ATTEMPTS
             progress.last_reason = Reason.KEY_UNCONFIRMED
             return None
-        view = self._forwarder.choose_server(
+        chosen = self._forwarder.choose_server(
             plan.service,
             progress.tried_servers,
             max_start_delay_s=plan.target_latency_s,
         )
-        if view is None:
+        if chosen is None:
             if self._forwarder.is_limited(plan.service, progress.tried_servers):
                 progress.last_reason = Reason.BACKEND_LIMITED
             progress.not_run_count = _MAX_NOT_RUN_ATTEMPTS
             return None
+        view, start_delay_s = chosen
         progress.tried_servers.add(view.entry.name)
         progress.sent_count += 1
-        if await await_start(view) and not plan.may_send():
+        if start_delay_s:
+            await asyncio.sleep(start_delay_s)
+        if start_delay_s and not plan.may_send():
             progress.not_run_count = _MAX_NOT_RUN_ATTEMPTS
             progress.last_reason = Reason.KEY_UNCONFIRMED
             return None
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -491,7 +491,7 @@
             if view is None or view.entry.started_ms != report.started_ms:
                 continue
             view.record_limit(report.limit_per_s, age_s=report.age_s)
-            view.rate_limit.assign_share(share.share_per_s)
+            view.rate_limit.assign_share(share.share_per_s, burst=share.burst)
 
     def _record_leaving(self, view: ServerView) -> None:
         self._leaving.mark_leaving(
--- a/endivespindle/serving/rate_limit.py
+++ b/endivespindle/serving/rate_limit.py
@@ -20,9 +20,10 @@
 class ServerRateLimit:
     """The limit that a server named last, and this VM's share of it.
 
-    The server limits the requests of all VMs together. A VM spaces its requests
-    evenly at its share and saves none, so that many VMs that were idle do not
-    exceed the limit together when they send at once.
+    The server limits the requests of all VMs together. Each VM has a token
+    bucket that is filled at its share of the rate. The bucket is empty at first
+    and without a share, so that many VMs that were idle do not exceed the limit
+    together when they send at once.
 
     Args:
         clock: Clock of this VM.
@@ -34,22 +35,28 @@
     """
 
     __slots__ = (
+        "_burst",
         "_clock",
         "_count_vms",
-        "_last_start_s",
+        "_filled_s",
         "_seen_s",
         "_share_per_s",
         "_share_seen_s",
+        "_tokens",
+        "_was_limited",
         "limit_per_s",
     )
 
     def __init__(self, *, clock: Clock, count_vms: Callable[[], int]):
+        self._burst = 1.0
         self._clock = clock
         self._count_vms = count_vms
-        self._last_start_s = -math.inf
+        self._filled_s = clock.monotonic()
         self._seen_s = -math.inf
         self._share_per_s = 0.0
         self._share_seen_s = -math.inf
+        self._tokens = 0.0
+        self._was_limited = False
         self.limit_per_s: float | None = None
 
     def record(self, limit_per_s: float | None, *, age_s: float = 0.0) -> bool:
@@ -71,27 +78,29 @@
         if limit_per_s == self.limit_per_s:
             return False
         if self.limit_per_s is None:
-            self._last_start_s = now_s
+            self._tokens = 0.0
+            self._filled_s = now_s
         self.limit_per_s = limit_per_s
+        self._was_limited = True
         return True
 
-    def assign_share(self, share_per_s: float) -> None:
+    def assign_share(self, share_per_s: float, *, burst: float) -> None:
         """Sets the part of the limit that this VM may use.
 
-        A VM that had no share does not begin with a request it has saved.
+        Args:
+            share_per_s: Requests per second.
+            burst: Requests that it may send at once after a pause.
         """
-        now_s = self._clock.monotonic()
-        if self._rate_per_s() <= 0.0:
-            self._last_start_s = max(self._last_start_s, now_s)
+        self._fill()
         self._share_per_s = share_per_s
-        self._share_seen_s = now_s
+        self._burst = burst
+        self._share_seen_s = self._clock.monotonic()
+        self._tokens = min(self._tokens, burst)
 
     def is_reported(self) -> bool:
         """Returns whether other VMs are to be told of the limit or its end."""
-        return (
-            self.limit_per_s is not None
-            or self.evidence_age_s() < _LIFTED_REPORT_S
-            and self._last_start_s > -math.inf
+        return self.limit_per_s is not None or (
+            self._was_limited and self.evidence_age_s() < _LIFTED_REPORT_S
         )
 
     def evidence_age_s(self) -> float:
@@ -106,22 +115,29 @@
         """
         if self.limit_per_s is None:
             return 0.0
-        rate_per_s = self._rate_per_s()
-        if rate_per_s <= 0.0:
-            return math.inf
-        next_s = self._last_start_s + 1 / rate_per_s
-        wait_s = max(0.0, next_s - self._clock.monotonic())
-        return wait_s + reserved / rate_per_s
+        self._fill()
+        missing = 1 + reserved - self._tokens
+        if missing <= 0.0:
+            return 0.0
+        rate_per_s, _ = self._rate_and_burst()
+        return missing / rate_per_s if rate_per_s > 0.0 else math.inf
 
     def reserve_start(self) -> float:
         """Reserves the next start; returns the seconds until then."""
         delay_s = self.start_delay_s()
         if self.limit_per_s is not None and delay_s < math.inf:
-            self._last_start_s = self._clock.monotonic() + delay_s
+            self._tokens -= 1.0
         return delay_s
 
-    def _rate_per_s(self) -> float:
+    def _fill(self) -> None:
+        now_s = self._clock.monotonic()
+        rate_per_s, burst = self._rate_and_burst()
+        filled = self._tokens + rate_per_s * (now_s - self._filled_s)
+        self._tokens = min(burst, filled)
+        self._filled_s = now_s
+
+    def _rate_and_burst(self) -> tuple[float, float]:
         share_age_s = self._clock.monotonic() - self._share_seen_s
         if share_age_s <= _SHARE_MAX_AGE_S:
-            return self._share_per_s
-        return (self.limit_per_s or 0.0) / max(1, self._count_vms())
+            return self._share_per_s, self._burst
+        return (self.limit_per_s or 0.0) / max(1, self._count_vms()), 1.0
--- a/endivespindle/serving/rate_shares.py
+++ b/endivespindle/serving/rate_shares.py
@@ -13,6 +13,7 @@
     "LimitShare",
     "RateShares",
     "merge_shares",
+    "split_burst",
     "split_rate",
 ]
 
@@ -27,10 +28,15 @@
 # Factor by which the demand of a VM that has a share counts more than that of
 # one without: each new one may send a request at once.
 _SHARER_PREFERENCE = 3.0
+# Requests that all VMs together may send at once after a pause: these seconds
+# of the limit, and some more. A server allows half as much again as its limit
+# over 4 s, and 5 requests; the rest is for shares that change hands.
+_BURST_S = 1.5
+_MIN_BURST = 4.0
 # VMs with a share, per request per second of the limit, and in addition. Each
-# of them may send one request at the same moment.
-_SHARERS_PER_LIMIT = 2.0
-_MIN_SHARERS = 4
+# of them needs a burst of one request.
+_SHARERS_PER_LIMIT = 1.0
+_MIN_SHARERS = 3
 
 
 class LimitReport(msgspec.Struct, kw_only=True, frozen=True):
@@ -58,10 +64,12 @@
     Attributes:
         report: The newest report of any VM.
         share_per_s: Requests per second that this VM may send.
+        burst: Requests that it may send at once after a pause.
     """
 
     report: LimitReport
     share_per_s: float
+    burst: float
 
 
 class _Limit(msgspec.Struct, kw_only=True):
@@ -149,6 +157,7 @@
                         report, age_s=now_s - limit.seen_s
                     ),
                     share_per_s=rates.get(vm, 0.0),
+                    burst=split_burst(rate_per_s, rates).get(vm, 0.0),
                 )
             )
         return shares
@@ -183,6 +192,7 @@
         merged[share.report.server] = LimitShare(
             report=newest,
             share_per_s=min(known.share_per_s, share.share_per_s),
+            burst=min(known.burst, share.burst),
         )
     return list(merged.values())
 
@@ -230,3 +240,24 @@
         rates[vm] = min(fair_per_s, wanted_per_s)
         left_per_s -= rates[vm]
     return {vm: rate + left_per_s / len(sharers) for vm, rate in rates.items()}
+
+
+def split_burst(
+    limit_per_s: float, rates_per_s: Mapping[str, float]
+) -> dict[str, float]:
+    """Divides the requests that may be sent at once, in proportion to rates.
+
+    Load pattern: a step's requests come at once at the VM that runs it, and
+    none for seconds before. Without a burst they would all go to the servers
+    that name no limit and slow each other down there.
+
+    Args:
+        limit_per_s: Rate that was divided, in requests per second.
+        rates_per_s: Rate by VM, in requests per second.
+
+    Returns:
+        Requests by VM, at least one each.
+    """
+    total = _MIN_BURST + _BURST_S * limit_per_s
+    spare = max(0.0, total - len(rates_per_s)) / (limit_per_s or 1.0)
+    return {vm: 1.0 + spare * rate for vm, rate in rates_per_s.items()}
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -25,6 +25,7 @@
 LIMITED_FROM_S = 5.0
 LIMITED_UNTIL_S = 25.0
 END_S = 35.0
+STEP_S = 3.0
 SERVERS = ("s0", "s1", "s2")
 
 
@@ -118,8 +119,9 @@
             await self.forwarder.forward(call, plan)
         except RefusedError as exc:
             self.outcomes.append((start_s, self.clock.monotonic(), exc))
-        else:
-            self.outcomes.append((start_s, self.clock.monotonic(), None))
+            return exc
+        self.outcomes.append((start_s, self.clock.monotonic(), None))
+        return None
 
 
 class _World:
@@ -170,6 +172,32 @@
             task.cancel()
 
     async def _press(self, gateway, rate):
+        if rate is None:
+            await self._run_steps(gateway)
+        else:
+            await self._send_at_rate(gateway, rate)
+
+    async def _run_steps(self, gateway):
+        turn = self.gateways.index(gateway)
+        await asyncio.sleep(STEP_S * turn)
+        tasks = []
+        while self.clock.monotonic() < END_S:
+            tasks += [
+                asyncio.create_task(self._run_item(gateway, len(tasks) + item))
+                for item in range(36)
+            ]
+            await asyncio.sleep(STEP_S * (len(self.gateways) - 1))
+        await asyncio.gather(*tasks)
+
+    async def _run_item(self, gateway, number):
+        end_s = self.clock.monotonic() + 2 * STEP_S
+        while self.clock.monotonic() < end_s:
+            refusal = await gateway.call(number)
+            if refusal is None:
+                return
+            await asyncio.sleep(refusal.retry_after_s)
+
+    async def _send_at_rate(self, gateway, rate):
         rng = random.Random(rate)
         tasks = []
         while self.clock.monotonic() < END_S:
@@ -205,6 +233,8 @@
     "one_busy_vm": (30, *(0.4,) * 7),
     "few_vms": (12, 12, 3, 3),
     "many_vms": (0.5,) * 60,
+    # None: the items of a step come at once, each time at another VM.
+    "steps_in_turn": (0.4, *(None,) * 4),
 }
 _LIMITS = {
     "some_limited": {"s0": 2.0, "s1": 6.4},
