Abandon responses of servers that send bytes without end

Cause: the body of a response was read whole, whatever its size. A server that sends bytes until its caller closes fills the memory of a gateway (150 MB on the smallest VMs) within the deadline of one request, and the VM loses all others. The same held for a stream of blank lines, without an end of time.

Bodies end at 8 MiB, the limit that the product's own client has had; the function moves to backends/exchange.py and serves both. A stream has to end an event within 1 MiB of any bytes, not only of buffered ones.

--- a/endivespindle/backends/exchange.py
+++ b/endivespindle/backends/exchange.py
@@ -12,12 +12,16 @@
 __all__ = [
     "connection_lost_error",
     "is_framed",
+    "read_body",
     "release_or_close",
     "translate_read_errors",
     "translate_send_errors",
 ]
 
 _STATUSES_WITHOUT_BODY = (204, 304)
+# Size beyond which a body is abandoned: a faulty server may send bytes without
+# end, and the smallest VMs have 150 MB.
+_MAX_BODY_BYTES = 8 * 1_048_576
 
 
 def connection_lost_error(message: str) -> BackendServerError:
@@ -63,6 +67,32 @@
         raise connection_lost_error(repr(exc)) from exc
 
 
+async def read_body(
+    resp: aiohttp.ClientResponse, *, max_bytes: int = _MAX_BODY_BYTES
+) -> bytes:
+    """Reads a complete body; aiohttp raises an error for a truncated one.
+
+    Args:
+        resp: Response whose head was received.
+        max_bytes: Size beyond which the body is abandoned.
+
+    Raises:
+        BackendServerError: The body is too large.
+    """
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in resp.content.iter_any():
+        size += len(chunk)
+        if size > max_bytes:
+            raise BackendServerError(
+                "the response is too large",
+                ran=RunState.RAN,
+                reason=Reason.ANSWER_TOO_LARGE,
+            )
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 def release_or_close(resp: aiohttp.ClientResponse) -> None:
     """Releases the connection after a complete response, else closes it."""
     if resp.content.at_eof() and resp.content.exception() is None:
--- a/endivespindle/backends/http_client.py
+++ b/endivespindle/backends/http_client.py
@@ -9,6 +9,7 @@
 from endivespindle.backends.exchange import (
     connection_lost_error,
     is_framed,
+    read_body,
     release_or_close,
     translate_send_errors,
 )
@@ -123,7 +124,7 @@
         ) as resp:
             if resp.status != 200:
                 raise _status_error(resp.status)
-            body = await _read_body(resp)
+            body = await read_body(resp)
         return _decode(body, EngineOrderAnswer)
 
     async def call(
@@ -144,7 +145,7 @@
                 raise connection_lost_error(
                     "the end of the response body is not marked"
                 )
-            body = await _read_body(resp, max_bytes=max_bytes)
+            body = await read_body(resp, max_bytes=max_bytes)
             response_request_id = resp.headers.get(
                 "X-Request-Id", call.request_id
             )
@@ -171,7 +172,7 @@
         ) as resp:
             if resp.status != 200:
                 raise _status_error(resp.status)
-            return await _read_body(resp)
+            return await read_body(resp)
 
 
 class _exchange:  # noqa: N801
@@ -237,24 +238,6 @@
             raise connection_lost_error(repr(exc)) from exc
 
 
-async def _read_body(
-    resp: aiohttp.ClientResponse, *, max_bytes: int = 8 * 1_048_576
-) -> bytes:
-    """Reads a complete body; aiohttp raises an error for a truncated one."""
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in resp.content.iter_chunked(_READ_CHUNK_BYTES):
-        size += len(chunk)
-        if size > max_bytes:
-            raise BackendServerError(
-                "the response is too large",
-                ran=RunState.RAN,
-                reason=Reason.ANSWER_TOO_LARGE,
-            )
-        chunks.append(chunk)
-    return b"".join(chunks)
-
-
 async def _read_lines(resp: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
     """Yields the non-empty lines of a body as they arrive."""
     remainder = b""
--- a/endivespindle/platform/event_stream.py
+++ b/endivespindle/platform/event_stream.py
@@ -8,7 +8,8 @@
 
 __all__ = ["EventStreamParser"]
 
-# Far above any valid event: events are a few hundred bytes long.
+# Bytes within which the next event must end; events are a few hundred bytes
+# long.
 _MAX_EVENT_BYTES = 1_048_576
 _EVENT_END = b"\n\n"
 
@@ -20,10 +21,12 @@
     Where the weight version changes, its first line is `x-weight-versions:`.
     """
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_buffer", "_unfinished_bytes")
 
     def __init__(self) -> None:
         self._buffer = b""
+        # Received since the last event; blank lines are not buffered.
+        self._unfinished_bytes = 0
 
     @property
     def is_complete(self) -> bool:
@@ -37,9 +40,14 @@
             BackendServerError: The bytes are not a valid event.
         """
         *blocks, self._buffer = (self._buffer + data).split(_EVENT_END)
-        if len(self._buffer) > _MAX_EVENT_BYTES:
+        events = [_parse_event(block) for block in blocks if block]
+        if events:
+            self._unfinished_bytes = len(self._buffer)
+        else:
+            self._unfinished_bytes += len(data)
+        if self._unfinished_bytes > _MAX_EVENT_BYTES:
             raise _stream_error("an unterminated event is too large")
-        return [_parse_event(block) for block in blocks if block]
+        return events
 
 
 def _parse_event(block: bytes) -> StreamEvent:
--- a/endivespindle/platform/servers.py
+++ b/endivespindle/platform/servers.py
@@ -11,6 +11,7 @@
 from endivespindle.backends.exchange import (
     connection_lost_error,
     is_framed,
+    read_body,
     release_or_close,
     translate_read_errors,
     translate_send_errors,
@@ -213,7 +214,7 @@
     async def read(self) -> bytes:
         """Returns the complete body."""
         with translate_read_errors():
-            body = await self._resp.read()
+            body = await read_body(self._resp)
         self._check_body_end()
         return body
 
