Bound the time of error responses and the length of streams of items

Cause: an item has no deadline of its own, and its server is bounded by pauses only. A server whose error response never ended held the item, and a slot of its job, until the job timed out; one that never ended its stream held it as well and filled the owner's memory with events.

The body of an error response is read for 1 s at most: its head has said all. A stream that has more events than the item may have tokens is abandoned, and the item begins anew elsewhere.

Three tests of tests/test_batch_jobs.py fail without the change: no result of the items that the server held.

--- a/endivespindle/runtime/completion_runner.py
+++ b/endivespindle/runtime/completion_runner.py
@@ -1,6 +1,7 @@
 """Generates the completions of batch items from streams of events."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator
 
 from endivespindle.batch.generation_speed import (
@@ -43,6 +44,8 @@
 _EVENTS_PER_SPEED_CHECK = 4
 _HTTP_UNPROCESSABLE = 422
 _HTTP_INTERNAL_ERROR = 500
+# Time within which the body of an error response must be complete.
+_ERROR_BODY_TIMEOUT_S = 1.0
 
 
 class _EventIntervals:
@@ -185,10 +188,10 @@
         if head.not_run:
             view.refuse_model(sub.model, _LOADING_PAUSE_S)
             state.not_before_s = self._clock.monotonic() + _BUSY_PAUSE_S
-            await resp.read()
+            await _discard_body(resp)
             return "not_run"
         if head.status != 200:
-            await resp.read()
+            await _discard_body(resp)
             return self._handle_failure(job, state, head.status)
         view.confirm_model(sub.model)
         version = head.weight_version
@@ -223,6 +226,10 @@
             if sub.single_version and state.versions not in ([], [version]):
                 state.discard_completion()
                 return "version_changed"
+            if len(state.chunks) >= max(1, state.item.tokens):
+                # Each event holds a token at least.
+                state.discard_completion()
+                return "too_long"
             if not state.append_event(event, version):
                 state.discard_completion()
                 return "out_of_order"
@@ -305,3 +312,13 @@
                 ) from exc
             has_begun = True
             yield event
+
+
+async def _discard_body(resp: ServerResponse) -> None:
+    """Reads the body of an error response, so that its connection is kept.
+
+    A body that does not end in time is abandoned with its connection.
+    """
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(_ERROR_BODY_TIMEOUT_S):
+            await resp.read()
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -325,6 +325,41 @@
     _play(answer, story)
 
 
+class _EndlessBody(ScriptedAnswer):
+    async def read(self):
+        await asyncio.sleep(1_000_000.0)
+
+
+@pytest.mark.parametrize("not_run", [True, False])
+def test_an_error_response_without_an_end_does_not_hold_its_item(not_run):
+    def answer(name, call):
+        if name == "e0":
+            return _EndlessBody(status=503, not_run=not_run)
+        return _whole(name, call)
+
+    async def story(world):
+        await world.submit([item(f"i{n}") for n in range(4)])
+        await asyncio.sleep(5.0)
+        assert len((await world.read()).results) == 4
+
+    _play(answer, story)
+
+
+def test_a_stream_that_exceeds_the_tokens_of_its_item_is_abandoned():
+    def answer(name, call):
+        if name == "e0":
+            return ScriptedAnswer(events=range(1, 1_000_000), pause_s=0.001)
+        return _whole(name, call)
+
+    async def story(world):
+        await world.submit([item(f"i{n}") for n in range(4)])
+        await asyncio.sleep(5.0)
+        results = (await world.read()).results
+        assert [result.text for result in results] == ["t1\nt2\nt3"] * 4
+
+    _play(answer, story)
+
+
 @pytest.mark.parametrize(("status", "sends"), [(500, 3), (422, 1)])
 def test_an_item_that_cannot_be_done_is_terminated(status, sends):
     async def story(world):
