Assign models to servers without a limit before those that name one

Cause: a model's versions are loaded on its own part of the servers. The controller did not know of limits.

It now applies the limits that gateways report to its own directory, and servers that accept fewer requests a second than they have slots come last in the assignment. A limit beyond the slots changes nothing.

Ruled out: going beyond the named limit on average up to what the rule still allows. The server says what it accepts.

--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -196,7 +196,9 @@
             apply_s=settings.timing.config_apply_s,
         )
         self._directory = ServerDirectory(
-            clock=ctx.clock, on_leaving=ctx.record_leaving_server
+            clock=ctx.clock,
+            on_leaving=ctx.record_leaving_server,
+            on_limit=ctx.record_server_limit,
         )
         self._newest_versions: dict[str, int] = {}
         self._required_by_node: dict[str, dict[str, int]] = {}
@@ -356,6 +358,8 @@
         self._usage.record(update.counts)
         self._required_by_node[update.counts.node] = update.required
         self._slot_demand.record(update.counts.node, update.wanted)
+        for report in update.limits:
+            self._directory.apply_limit(report)
         self._rate_shares.record(
             update.counts.node,
             demand_per_s=update.demand_per_s,
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -483,15 +483,26 @@
             if view.rate_limit.is_reported()
         ]
 
+    def apply_limit(self, report: LimitReport) -> ServerView | None:
+        """Applies a limit that another VM reported.
+
+        Returns:
+            The server; None if this incarnation is not known.
+        """
+        view = self._views.get(report.server)
+        if view is None or view.entry.started_ms != report.started_ms:
+            return None
+        view.record_limit(report.limit_per_s, age_s=report.age_s)
+        return view
+
     def apply_shares(self, shares: Iterable[LimitShare]) -> None:
         """Applies limits that other VMs reported, and this VM's shares."""
         for share in shares:
-            report = share.report
-            view = self._views.get(report.server)
-            if view is None or view.entry.started_ms != report.started_ms:
-                continue
-            view.record_limit(report.limit_per_s, age_s=report.age_s)
-            view.rate_limit.assign_share(share.share_per_s, burst=share.burst)
+            view = self.apply_limit(share.report)
+            if view is not None:
+                view.rate_limit.assign_share(
+                    share.share_per_s, burst=share.burst
+                )
 
     def _record_leaving(self, view: ServerView) -> None:
         self._leaving.mark_leaving(
--- a/endivespindle/weights/load_plan.py
+++ b/endivespindle/weights/load_plan.py
@@ -40,7 +40,8 @@
     same servers. A server that loads all of them spends most of its time
     loading. Each model gets twice its even share of the servers; those that
     are closest to its newest version stay assigned, so that the assignment
-    changes only when servers are added or removed.
+    changes only when servers are added or removed, or limit their request rate.
+    Servers that do come last, so that no model depends on them alone.
 
     Args:
         servers: Servers of one service that accept new work.
@@ -69,6 +70,7 @@
             view = min(
                 free,
                 key=lambda v: (
+                    _is_limited(v),
                     max(
                         0,
                         newest_versions[model]
@@ -152,6 +154,15 @@
     return list(chosen.values())
 
 
+def _is_limited(view: ServerView) -> bool:
+    """Returns whether a server accepts fewer requests than its slots could run.
+
+    A completion occupies a slot for about a second.
+    """
+    limit_per_s = view.rate_limit.limit_per_s
+    return limit_per_s is not None and limit_per_s < view.entry.slots
+
+
 def _version(
     view: ServerView, model: str, ordered: Mapping[tuple[str, str], int]
 ) -> int:
--- a/endivespindle/weights/tests/test_load_plan.py
+++ b/endivespindle/weights/tests/test_load_plan.py
@@ -131,3 +131,31 @@
     assert {len(views) for views in assigned.values()} == {4}
     used = [view.entry.name for views in assigned.values() for view in views]
     assert len(set(used)) == 12
+
+
+def test_no_model_depends_on_servers_that_limit_their_request_rate():
+    """Pattern: most servers name limits while three trainers run steps."""
+    servers = _engines(9, dict.fromkeys(MODELS, 1))
+    for view in servers[3:]:
+        view.record_limit(2.0)
+    assignments = assign_servers(servers, dict.fromkeys(MODELS, 5))
+    for assigned in assignments.values():
+        assert set(servers[:3]) <= set(assigned)
+
+
+def test_servers_without_a_limit_take_over_from_those_that_name_one():
+    """The limited servers have the versions; the others are behind."""
+    servers = _engines(4, {"m0": 5})
+    for view in servers[2:]:
+        view.record_version("m0", 1)
+    assert assign_servers(servers, {"m0": 5}, None, 1)["m0"] == servers[:2]
+    for view in servers[:2]:
+        view.record_limit(2.0)
+    assert assign_servers(servers, {"m0": 5}, None, 1)["m0"] == servers[2:]
+
+
+def test_a_limit_beyond_the_slots_changes_nothing():
+    servers = _engines(4, {"m0": 5})
+    before = assign_servers(servers, {"m0": 5}, None, 1)
+    servers[0].record_limit(1000.0)
+    assert assign_servers(servers, {"m0": 5}, None, 1) == before
