Divide limits at most ten times a second, and forget those of servers that left

Cause, found reading the diff: a controller divided every limit anew for every update of every gateway, a cost that grows with the square of the VMs (300 gateways and 32 limited servers: 1,200 divisions of 32 limits a second). And the limit of a server that left while it was limited was kept for good; it counted in the sum by which the demand on the others was divided.

The division is kept for 0.1 s, but a server that is reported for the first time is divided at once; a limit that no gateway has reported for 3 s is forgotten.

--- a/endivespindle/serving/rate_shares.py
+++ b/endivespindle/serving/rate_shares.py
@@ -1,5 +1,6 @@
 """Division of the request rates of limited servers among the VMs."""
 
+import heapq
 import itertools
 import math
 from collections.abc import Collection, Iterable, Mapping, Sequence
@@ -19,8 +20,12 @@
 
 # A VM that has sent no update for this long gets no share.
 _DEMAND_MAX_AGE_S = 3.0
-# Time for which a limit that no VM reports any more is kept.
-_REPORT_MAX_AGE_S = 10.0
+# Time for which a limit that no VM reports any more is kept: it was lifted, or
+# its server is gone.
+_REPORT_MAX_AGE_S = 3.0
+# Interval at which limits are divided anew. The time that this takes grows with
+# the VMs and with the limited servers, and so does the number of updates.
+_DIVISION_INTERVAL_S = 0.1
 # Share of a VM relative to its demand: requests do not come evenly.
 _DEMAND_HEADROOM = 1.25
 # Demand assumed for a VM without any, in requests per second.
@@ -73,10 +78,21 @@
 
 
 class _Limit(msgspec.Struct, kw_only=True):
+    """A limit and its last division.
+
+    Attributes:
+        report: Newest report.
+        seen_s: Monotonic time of the response that it is about.
+        reported_s: Monotonic time at which a VM last reported the server.
+        rates_per_s: Rate by VM.
+        bursts: Burst by VM.
+    """
+
     report: LimitReport
     seen_s: float
-    # VMs that had a share when the rate was divided last.
-    sharers: Collection[str] = ()
+    reported_s: float
+    rates_per_s: Mapping[str, float] = {}
+    bursts: Mapping[str, float] = {}
 
 
 class _Demand(msgspec.Struct, kw_only=True):
@@ -95,10 +111,11 @@
         clock: Clock of this VM.
     """
 
-    __slots__ = ("_clock", "_demands", "_limits")
+    __slots__ = ("_clock", "_demands", "_divided_s", "_limits")
 
     def __init__(self, *, clock: Clock):
         self._clock = clock
+        self._divided_s = -math.inf
         self._demands: dict[str, _Demand] = {}
         self._limits: dict[str, _Limit] = {}
 
@@ -119,28 +136,46 @@
         now_s = self._clock.monotonic()
         self._demands[vm] = _Demand(by_service=demand_per_s, seen_s=now_s)
         for report in reports:
-            seen_s = now_s - report.age_s
-            known = self._limits.get(report.server)
-            if known is None or (report.started_ms, seen_s) >= (
-                known.report.started_ms,
-                known.seen_s,
-            ):
-                self._limits[report.server] = _Limit(
-                    report=report,
-                    seen_s=seen_s,
-                    sharers=known.sharers if known is not None else (),
-                )
-        self._remove_expired(now_s)
+            self._apply_report(report, now_s)
 
     def shares(self, vm: str) -> list[LimitShare]:
         """Returns the limits of all servers and the shares of a VM."""
         now_s = self._clock.monotonic()
+        if now_s - self._divided_s >= _DIVISION_INTERVAL_S:
+            self._divided_s = now_s
+            self._remove_expired(now_s)
+            self._divide()
+        return [
+            LimitShare(
+                report=msgspec.structs.replace(
+                    limit.report, age_s=now_s - limit.seen_s
+                ),
+                share_per_s=limit.rates_per_s.get(vm, 0.0),
+                burst=limit.bursts.get(vm, 0.0),
+            )
+            for limit in self._limits.values()
+        ]
+
+    def _apply_report(self, report: LimitReport, now_s: float) -> None:
+        seen_s = now_s - report.age_s
+        known = self._limits.get(report.server)
+        if known is None or known.report.started_ms < report.started_ms:
+            self._limits[report.server] = _Limit(
+                report=report, seen_s=seen_s, reported_s=now_s
+            )
+            # A limit that has just become known is divided at once.
+            self._divided_s = -math.inf
+        elif known.report.started_ms == report.started_ms:
+            known.reported_s = now_s
+            if seen_s >= known.seen_s:
+                known.report, known.seen_s = report, seen_s
+
+    def _divide(self) -> None:
         totals: dict[str, float] = {}
         for limit in self._limits.values():
             rate_per_s = limit.report.limit_per_s or 0.0
             service = limit.report.service
             totals[service] = totals.get(service, 0.0) + rate_per_s
-        shares = []
         for limit in self._limits.values():
             report, rate_per_s = limit.report, limit.report.limit_per_s or 0.0
             # A VM spreads its requests over the limited servers of a service.
@@ -149,18 +184,10 @@
                 name: demand.by_service.get(report.service, 0.0) * fraction
                 for name, demand in self._demands.items()
             }
-            rates = split_rate(rate_per_s, demands, preferred=limit.sharers)
-            limit.sharers = rates.keys()
-            shares.append(
-                LimitShare(
-                    report=msgspec.structs.replace(
-                        report, age_s=now_s - limit.seen_s
-                    ),
-                    share_per_s=rates.get(vm, 0.0),
-                    burst=split_burst(rate_per_s, rates).get(vm, 0.0),
-                )
+            limit.rates_per_s = split_rate(
+                rate_per_s, demands, preferred=limit.rates_per_s.keys()
             )
-        return shares
+            limit.bursts = split_burst(rate_per_s, limit.rates_per_s)
 
     def _remove_expired(self, now_s: float) -> None:
         self._demands = {
@@ -171,8 +198,7 @@
         self._limits = {
             name: limit
             for name, limit in self._limits.items()
-            if limit.report.limit_per_s is not None
-            or now_s - limit.seen_s <= _REPORT_MAX_AGE_S
+            if now_s - limit.reported_s <= _REPORT_MAX_AGE_S
         }
 
 
@@ -230,7 +256,7 @@
         factor = _SHARER_PREFERENCE if vm in preferred else 1.0
         return -factor * demands_per_s[vm], vm
 
-    sharers = sorted(demands_per_s, key=rank)[:count]
+    sharers = heapq.nsmallest(count, demands_per_s, key=rank)
     sharers.sort(key=demands_per_s.__getitem__)
     rates: dict[str, float] = {}
     left_per_s = limit_per_s
