Count a controller that has no state yet as one that cannot reach the store

A controller that did not reply is asked again without a wait. One that came back without having read the store replied with nothing at once, stayed marked as silent, and each such reply sent the gateway to the store without a wait as well: 2.1 million reads in 10 s of the test's time.

A reply without state now counts as one of a controller that cannot reach the store. test_a_relay_that_came_back_without_state_does_not_cause_many_reads fails without the change.

--- a/endivespindle/runtime/relay.py
+++ b/endivespindle/runtime/relay.py
@@ -358,6 +358,7 @@
                 wait_s = 0.0
                 continue
             if reply is None:
+                self._selector.record_stale(relay.name)
                 continue
             reply.lag_s -= asked_s - start_s
             if not reply.stale:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -254,6 +254,26 @@
     _play(story)
 
 
+def test_a_relay_that_came_back_without_state_does_not_cause_many_reads():
+    """It was silent before; it has restarted and cannot reach the store."""
+
+    async def story(world):
+        world.cut = True
+        await asyncio.sleep(2.0)
+        world.feed = WatchCache(clock=world.clock, max_age_s=2.7)
+        world.tasks[0].cancel()
+        world.cut = False
+        await asyncio.sleep(2.0)
+        reads = world.store.reads
+        await asyncio.sleep(10.0)
+        assert world.store.reads - reads <= 10 * 2
+        await world.write(b"new")
+        await asyncio.sleep(1.0)
+        assert world.seen["main"] == b"new"
+
+    _play(story)
+
+
 def test_a_relay_that_has_read_nothing_yet_is_of_no_use():
     async def story(world):
         feed = WatchCache(clock=world.clock, max_age_s=2.7)
