--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -125,7 +125,7 @@
 
 
 class _World:
-    """Gateways whose callers press unevenly on three servers."""
+    """Gateways with different request rates, and three servers."""
 
     def __init__(self, limits, *, rates):
         self.clock = LoopClock(loop=asyncio.get_running_loop())
@@ -164,14 +164,14 @@
             for gateway in self.gateways
         ]
         sources = [
-            asyncio.create_task(self._press(gateway, rate))
+            asyncio.create_task(self._send_requests(gateway, rate))
             for gateway, rate in zip(self.gateways, self._rates, strict=True)
         ]
         await asyncio.gather(*sources)
         for task in updates:
             task.cancel()
 
-    async def _press(self, gateway, rate):
+    async def _send_requests(self, gateway, rate):
         if rate is None:
             await self._run_steps(gateway)
         else:
@@ -245,7 +245,7 @@
 @pytest.mark.parametrize("rates", _RATES)
 @pytest.mark.parametrize("limits", _LIMITS)
 def test_a_server_gets_no_more_requests_than_the_limit_it_named(limits, rates):
-    """Pattern: callers of few VMs press on a service whose servers are ill."""
+    """Pattern: few or many VMs overload a service with limited servers."""
     world = _play(_LIMITS[limits], _RATES[rates])
     for name, limit_per_s in _LIMITS[limits].items():
         assert world.most_in_window(name) <= _allowed(limit_per_s)
