Show that broken responses elsewhere hide a request that crashes servers

What callers see: a request that crashed three servers is sent to further ones, and the other requests on those end with it (BUDGET).

Cause, by reading: a loss does not count if another server is lost within 50 ms, and a server that merely broke off a response counts as lost there even after it has responded again. Where responses break off all the time, nearly every crash has such a neighbour.

Ruled out: losses that are not exchanged (the evidence of all gateways agrees).

--- a/endivespindle/serving/tests/test_crash_evidence.py
+++ b/endivespindle/serving/tests/test_crash_evidence.py
@@ -99,6 +99,18 @@
     assert evidence.crashes("r") == 0
 
 
+def test_lost_connections_to_servers_that_respond_do_not_excuse_a_request():
+    """Pattern: servers break off responses all the time, and go on."""
+    evidence, clock = _evidence()
+    for names in (("s0", "s1"), ("s2", "s3"), ("s4", "s5")):
+        evidence.record_loss("r", server=names[0], started_ms=1)
+        evidence.record_loss("other", server=names[1], started_ms=1)
+        clock.now_s += 0.2
+        evidence.record_response(names[1], 1, sent_s=clock.now_s)
+        clock.now_s += 0.8
+    assert evidence.crashes("r") == 3
+
+
 def test_records_expire_and_those_of_quarantines_last_longer():
     evidence, clock = _evidence()
     _lose(evidence, clock, ["s0"], digest="suspect")
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -44,10 +44,13 @@
     Attributes:
         sent: Time, body and ID of each request that a server began to run.
         crashes: Time of each crash, and the body that caused it if any.
+        broken_share: Share of the responses that break off.
     """
 
     def __init__(self, clock, names):
         self._clock = clock
+        self._rng = random.Random(0)
+        self.broken_share = 0.0
         self._crashed = dict.fromkeys(names)
         self._started_ms = dict.fromkeys(names, 1)
         self.directories = []
@@ -89,7 +92,7 @@
                 await crashed.wait()
         if call.body.startswith(POISON):
             self.crash(server.name, call.body)
-        if crashed.is_set():
+        if crashed.is_set() or self._rng.random() < self.broken_share:
             raise lost()
         yield ScriptedAnswer(body=b"ok")
 
@@ -220,8 +223,9 @@
         attempts: ID of each client attempt, and its refusal or None.
     """
 
-    def __init__(self, *, gateways, servers, seed):
+    def __init__(self, *, gateways, servers, seed, end_s):
         self.clock = LoopClock(loop=asyncio.get_running_loop())
+        self.end_s = end_s
         self.rng = random.Random(seed)
         names = [f"s{number}" for number in range(servers)]
         self.servers = _Servers(self.clock, names)
@@ -285,7 +289,7 @@
     async def repeat(self, body, *, rate_per_s, tries=2):
         """Sends requests with the same or, by a function, differing bodies."""
         tasks = []
-        while self.clock.monotonic() < END_S:
+        while self.clock.monotonic() < self.end_s:
             await asyncio.sleep(self.rng.expovariate(rate_per_s))
             content = body(len(tasks)) if callable(body) else body
             tasks.append(
@@ -307,9 +311,11 @@
         )
 
 
-def _play(scenario, *, gateways=8, servers=3, seed=1):
+def _play(scenario, *, gateways=8, servers=3, seed=1, end_s=END_S):
     async def run():
-        world = _World(gateways=gateways, servers=servers, seed=seed)
+        world = _World(
+            gateways=gateways, servers=servers, seed=seed, end_s=end_s
+        )
         await scenario(world)
         world.stop()
         return world
@@ -335,6 +341,21 @@
     assert world.sends_after_third_crash(POISON) <= MAX_LATER_SENDS
 
 
+@pytest.mark.parametrize("seed", range(2))
+def test_broken_responses_do_not_hide_a_request_that_crashes_servers(seed):
+    """Pattern: three tenths of the responses to other requests break off."""
+
+    async def scenario(world):
+        world.servers.broken_share = 0.3
+        await asyncio.gather(
+            world.repeat(POISON, rate_per_s=1.0),
+            world.repeat(lambda n: f"order {n}".encode(), rate_per_s=150.0),
+        )
+
+    world = _play(scenario, servers=20, seed=seed, end_s=20.0)
+    assert world.sends_after_third_crash(POISON) <= MAX_LATER_SENDS
+
+
 def _refused_as_crashing(world):
     return [
         body
