Show that an error response excuses a request that crashes servers

Cause, by reading: any response of a server to the request voids the losses before it, a 500 too. A server that fails part of its requests does so before it has run them, and tells nothing of what running them does. Its 500 clears the count, and the request goes on to crash servers (BUDGET).

--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -45,12 +45,14 @@
         sent: Time, body and ID of each request that a server began to run.
         crashes: Time of each crash, and the body that caused it if any.
         broken_share: Share of the responses that break off.
+        error_share: Share of the requests that are answered 500.
     """
 
     def __init__(self, clock, names):
         self._clock = clock
         self._rng = random.Random(0)
         self.broken_share = 0.0
+        self.error_share = 0.0
         self._crashed = dict.fromkeys(names)
         self._started_ms = dict.fromkeys(names, 1)
         self.directories = []
@@ -86,6 +88,9 @@
         crashed = self._crashed[server.name]
         if crashed.is_set():
             raise lost(RunState.NOT_RUN)
+        if self._rng.random() < self.error_share:
+            yield ScriptedAnswer(status=500)
+            return
         self.sent.append((self._clock.monotonic(), call.body, call.request_id))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(RUN_S):
@@ -356,6 +361,19 @@
     assert world.sends_after_third_crash(POISON) <= MAX_LATER_SENDS
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_error_responses_do_not_excuse_a_request_that_crashes_servers(seed):
+    """Pattern: servers also fail two fifths of all requests with 500."""
+
+    async def scenario(world):
+        world.servers.error_share = 0.4
+        await world.repeat(POISON, rate_per_s=2.0)
+
+    world = _play(scenario, servers=9, seed=seed)
+    assert len(world.servers.crashes) >= 3
+    assert world.sends_after_third_crash(POISON) <= MAX_LATER_SENDS
+
+
 def _refused_as_crashing(world):
     return [
         body
