Show that the cost of crash evidence grows with the square of the suspects

Cause: for each suspect all losses of all others are searched for one at the same moment. Controllers do so for every record twice a second, and each VM when it drops old records.

The test counts function calls, as time would differ by machine; it fails by 16 times the calls for 4 times the suspects.

--- a/endivespindle/serving/tests/test_crash_evidence.py
+++ b/endivespindle/serving/tests/test_crash_evidence.py
@@ -1,6 +1,7 @@
 """Evidence of crashes: what counts, what voids it, and its exchange."""
 
 import datetime
+import sys
 
 import pytest
 
@@ -111,6 +112,34 @@
     assert evidence.crashes("r") == 3
 
 
+def _calls_to_list_quarantines(suspects):
+    """Returns the function calls that it takes to list the quarantines."""
+    evidence, clock = _evidence()
+    for number in range(suspects):
+        names = [f"s{(number + offset) % 30}" for offset in range(2)]
+        _lose(evidence, clock, names, digest=f"d{number}")
+    calls = 0
+
+    def count(frame, event, arg):
+        nonlocal calls
+        del frame, arg
+        calls += event == "call"
+
+    before = sys.getprofile()
+    sys.setprofile(count)
+    try:
+        evidence.quarantined()
+    finally:
+        sys.setprofile(before)
+    return calls
+
+
+def test_the_cost_of_listing_quarantines_grows_linearly_with_the_suspects():
+    """Controllers list them twice a second."""
+    few, many = (_calls_to_list_quarantines(count) for count in (100, 400))
+    assert many <= 5 * few
+
+
 def test_records_expire_and_those_of_quarantines_last_longer():
     evidence, clock = _evidence()
     _lose(evidence, clock, ["s0"], digest="suspect")
