--- a/endivespindle/serving/crash_evidence.py
+++ b/endivespindle/serving/crash_evidence.py
@@ -13,6 +13,7 @@
     attempt_rule,
     count_crashes,
 )
+from endivespindle.serving.loss_times import LossTimes, TimedLoss
 
 __all__ = ["CrashEvidence", "CrashRecord", "ServerLoss"]
 
@@ -112,6 +113,7 @@
     __slots__ = (
         "_clock",
         "_digests_by_server",
+        "_loss_times",
         "_on_quarantine",
         "_records",
         "position",
@@ -129,6 +131,7 @@
         self._on_quarantine = on_quarantine
         self._records: dict[str, _Record] = {}
         self._digests_by_server: dict[tuple[str, int], set[str]] = {}
+        self._loss_times = LossTimes()
         self.position = 0
 
     def __len__(self) -> int:
@@ -257,6 +260,7 @@
         if key not in record.losses:
             record.losses[key] = _Loss(lost_s)
             self._digests_by_server.setdefault(key, set()).add(digest)
+            self._loss_times.add(_timed_loss(digest, key, lost_s))
             self._touch(record)
 
     def _crash_times(self, digest: str) -> list[float]:
@@ -278,11 +282,10 @@
         all of them are reset, again and again.
         """
         return any(
-            abs(self._records[other].losses[key].lost_s - lost_s)
-            <= COINCIDENCE_S
-            for key, digests in self._digests_by_server.items()
-            if key not in record.losses
-            for other in digests
+            (loss.server, loss.started_ms) not in record.losses
+            for loss in self._loss_times.around(
+                lost_s, tolerance_s=COINCIDENCE_S
+            )
         )
 
     def _touch(self, record: _Record) -> None:
@@ -344,8 +347,16 @@
 
     def _remove(self, digest: str) -> None:
         record = self._records.pop(digest)
-        for key in record.losses:
+        for key, loss in record.losses.items():
+            self._loss_times.discard(_timed_loss(digest, key, loss.lost_s))
             digests = self._digests_by_server[key]
             digests.discard(digest)
             if not digests:
                 del self._digests_by_server[key]
+
+
+def _timed_loss(digest: str, key: tuple[str, int], lost_s: float) -> TimedLoss:
+    server, started_ms = key
+    return TimedLoss(
+        lost_s=lost_s, server=server, started_ms=started_ms, digest=digest
+    )
