Let only servers that did not respond again excuse a request

Cause: a loss was not counted while another server was lost within 50 ms, also one that broke off a response and has gone on since. It now has to be silent.

--- a/endivespindle/serving/crash_evidence.py
+++ b/endivespindle/serving/crash_evidence.py
@@ -98,7 +98,8 @@
     response. A loss counts until its server responds to a later request, and
     all losses of a request are void once any server completed it. A loss does
     not count either if servers that the request was not sent to were lost at
-    the same moment. Records of other VMs are merged.
+    the same moment and have not responded since. Records of other VMs are
+    merged.
 
     Args:
         clock: Clock of this VM.
@@ -278,16 +279,23 @@
     def _has_other(self, record: _Record, lost_s: float) -> bool:
         """Returns whether another server was lost at the same moment.
 
-        Load pattern: most servers of a service crash at once, or connections to
-        all of them are reset, again and again.
+        A server that has responded since was not.
+
+        Load pattern: most servers of a service crash at once, again and again,
+        while others break off responses.
         """
         return any(
             (loss.server, loss.started_ms) not in record.losses
+            and not self._has_survived(loss)
             for loss in self._loss_times.around(
                 lost_s, tolerance_s=COINCIDENCE_S
             )
         )
 
+    def _has_survived(self, loss: TimedLoss) -> bool:
+        key = (loss.server, loss.started_ms)
+        return self._records[loss.digest].losses[key].has_survived
+
     def _touch(self, record: _Record) -> None:
         self.position += 1
         record.position = self.position
