Let only a success excuse a request that crashes servers

Cause: any response other than 'not run' voided the crashes under a request. A server that fails part of its requests sends its 500 without having run them.

A request that only ever receives 500 has no losses to be held against it, so nothing is refused for want of a success.

--- a/endivespindle/runtime/forwarding.py
+++ b/endivespindle/runtime/forwarding.py
@@ -294,8 +294,7 @@
             response = await self._attempt(
                 view, call, plan, start_delay_s=start_delay_s
             )
-        if not response.head.not_run:
-            guard.record_completion()
+        guard.record_response(response.head)
         return response
 
     async def _attempt(
--- a/endivespindle/runtime/request_guard.py
+++ b/endivespindle/runtime/request_guard.py
@@ -1,13 +1,14 @@
 """Keeps one request from servers if it crashes them, and logs why."""
 
 import contextlib
+import http
 from collections.abc import Iterator
 
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import BackendServerError
 from endivespindle.runtime.telemetry import EventLog
 from endivespindle.serving.attempt_guard import AttemptGuard
-from endivespindle.serving.calls import ServerCall
+from endivespindle.serving.calls import ResponseHead, ServerCall
 from endivespindle.serving.directory import ServerView
 from endivespindle.serving.request_digest import request_digest
 
@@ -78,9 +79,14 @@
                 self._record_failure(view, exc)
                 raise
 
-    def record_completion(self) -> None:
-        """Records that a server completed the request without a crash."""
-        if self._guard is not None:
+    def record_response(self, head: ResponseHead) -> None:
+        """Records a complete response; only a success shows that it ran.
+
+        A server that fails requests may do so before it runs them.
+        """
+        if self._guard is None or head.not_run:
+            return
+        if head.status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
             self._guard.record_completion(self._digest)
 
     def _record_failure(
--- a/endivespindle/runtime/streaming.py
+++ b/endivespindle/runtime/streaming.py
@@ -253,7 +253,7 @@
         else:
             progress.on_start()
             resp = await self._forward_events(response, view, progress)
-        progress.guard.record_completion()
+        progress.guard.record_response(response.head)
         return resp
 
     async def _find_software(
