Report a quarantine that a later response brings about

Cause: since a loss excuses no other request once its server has responded again, the count of a request can reach the limit without a loss of its own. The line request_quarantined was written for losses alone, so on-call staff would see a request withheld and no reason before it.

The test fails on the code before: no report.

--- a/endivespindle/serving/crash_evidence.py
+++ b/endivespindle/serving/crash_evidence.py
@@ -69,14 +69,22 @@
 
 
 class _Record:
-    """Losses by server and incarnation, and the position of the last change."""
+    """Losses by server and incarnation, and the position of the last change.
 
-    __slots__ = ("completed_s", "losses", "position")
+    Attributes:
+        losses: Losses by server and incarnation.
+        completed_s: Monotonic time at which a server last completed it.
+        position: Number of its last change.
+        reported_crashes: Crashes for which a quarantine was reported.
+    """
+
+    __slots__ = ("completed_s", "losses", "position", "reported_crashes")
 
     def __init__(self) -> None:
         self.losses: dict[tuple[str, int], _Loss] = {}
         self.completed_s = -math.inf
         self.position = 0
+        self.reported_crashes = 0
 
     def open_losses(self) -> list[float]:
         """Returns the losses since a server last completed the request."""
@@ -181,12 +189,9 @@
         """
         key = (server, started_ms)
         for digest in self._digests_by_server.get(key, ()):
-            record = self._records[digest]
-            loss = record.losses[key]
-            is_soon = loss.lost_s < sent_s <= loss.lost_s + _MIN_RESTART_S
-            if is_soon and not loss.has_survived:
-                loss.has_survived = True
-                self._touch(record)
+            lost_s = self._records[digest].losses[key].lost_s
+            if lost_s < sent_s <= lost_s + _MIN_RESTART_S:
+                self._mark_survived(digest, key)
 
     def changes_since(
         self, position: int, *, limit: int
@@ -227,21 +232,16 @@
         """Merges what another VM knows."""
         now_s = self._clock.monotonic()
         for other in records:
-            before = self.crashes(other.digest)
             self._merge_record(other, now_s)
-            crashes = self.crashes(other.digest)
-            if crashes > before and crashes >= CRASHES_TO_QUARANTINE:
-                self._on_quarantine(other.digest, crashes)
+            self._report_quarantine(other.digest)
         self._evict(now_s)
 
     def _merge_record(self, other: CrashRecord, now_s: float) -> None:
         for loss in other.losses:
             key = (loss.server, loss.started_ms)
             self._add_loss(other.digest, key, now_s - loss.age_s)
-            known = self._records[other.digest].losses[key]
-            if loss.has_survived and not known.has_survived:
-                known.has_survived = True
-                self._touch(self._records[other.digest])
+            if loss.has_survived:
+                self._mark_survived(other.digest, key)
         record = self._records.get(other.digest)
         if record is None or other.completed_age_s is None:
             return
@@ -264,6 +264,33 @@
             self._loss_times.add(_timed_loss(digest, key, lost_s))
             self._touch(record)
 
+    def _mark_survived(self, digest: str, key: tuple[str, int]) -> None:
+        """Records that a server responded after a loss.
+
+        The loss no longer excuses other requests lost at the same moment.
+        """
+        record = self._records[digest]
+        loss = record.losses[key]
+        if loss.has_survived:
+            return
+        loss.has_survived = True
+        self._touch(record)
+        for other in self._loss_times.around(
+            loss.lost_s, tolerance_s=COINCIDENCE_S
+        ):
+            self._report_quarantine(other.digest)
+
+    def _report_quarantine(self, digest: str) -> None:
+        """Reports a request whose crashes have risen to the limit or above."""
+        record = self._records.get(digest)
+        if record is None:
+            return
+        crashes = self.crashes(digest)
+        is_risen = crashes > record.reported_crashes
+        record.reported_crashes = crashes
+        if is_risen and crashes >= CRASHES_TO_QUARANTINE:
+            self._on_quarantine(digest, crashes)
+
     def _crash_times(self, digest: str) -> list[float]:
         """Returns when servers crashed under a request in a row."""
         record = self._records.get(digest)
--- a/endivespindle/serving/tests/test_crash_evidence.py
+++ b/endivespindle/serving/tests/test_crash_evidence.py
@@ -112,6 +112,22 @@
     assert evidence.crashes("r") == 3
 
 
+def test_a_quarantine_is_reported_once_when_another_server_responds_again():
+    clock = _Clock()
+    reports = []
+    evidence = CrashEvidence(
+        clock=clock, on_quarantine=lambda *report: reports.append(report)
+    )
+    _lose(evidence, clock, ["s0", "s1"])
+    evidence.record_loss("other", server="s3", started_ms=1)
+    evidence.record_loss("r", server="s2", started_ms=1)
+    assert not reports
+    clock.now_s += 0.2
+    for _ in range(2):
+        evidence.record_response("s3", 1, sent_s=clock.now_s)
+    assert reports == [("r", 3)]
+
+
 def _calls_to_list_quarantines(suspects):
     """Returns the function calls that it takes to list the quarantines."""
     evidence, clock = _evidence()
