Check that a slow completion stays at its server of the same software

Cause: the scripted stream of the test broke off after its last event, so that the completion was begun anew at the other version in any case, and the test only asked for one version in the result.

The stream now ends, the result must be of the first version, and only one server may have been sent the completion: stricter in each part.

--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -111,7 +111,12 @@
     """Pattern: the servers of one version have become slow."""
 
     def answer(name, call):
-        return _Answer(name, call, pause=0.3 if SOFTWARE[name] == "v1" else 0.0)
+        return _Answer(
+            name,
+            call,
+            breaks_after=None,
+            pause=0.3 if SOFTWARE[name] == "v1" else 0.0,
+        )
 
     async def story(world):
         _set_servers(world, {"e0": "v1"})
@@ -124,7 +129,9 @@
             node.directory.get("e1").record_event_interval(0.01)
         await asyncio.sleep(5.0)
         results = (await world.read()).results
-        assert [len(_software_of(result)) for result in results] == [1]
+        assert [_software_of(result) for result in results] == [{"v1"}]
+        # Nor was it interrupted.
+        assert [name for name, _ in world.servers.sent] == ["e0"]
 
     play_jobs(answer, story)
 
