Let streams go on after a restart only where their software is proved

Cause: what a gateway knew of software versions and of the origins of streams lived in its memory and in that of other gateways. With both versions there, every stream was refused, though its servers served.

Ruled out: a store write for each stream (paid, holds new streams up); asking the caller (it names its first attempt only).

Change: an origin is kept at one gateway and at one controller; the lease holder records in the store which versions served since when, on each change of software. A stream of unknown origin goes on only if a complete record names one version, else it is refused at once. Attempts that a change of a job's owner cancels leave their line.

--- a/endivespindle/platform/settings_file.py
+++ b/endivespindle/platform/settings_file.py
@@ -74,6 +74,8 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
     timing_bounds: _TimingBounds = msgspec.field(default_factory=_TimingBounds)
     cloud_api: _Operations | None = None
+    # Whether the fleet starts for the first time, with empty disks.
+    bootstrap: bool = False
 
 
 def settings_file_path() -> pathlib.Path:
@@ -132,6 +134,7 @@
         memory_mb=int(doc.limits.memory_mb),
         duties=tuple(cloud_api.duties) if cloud_api else (),
         cpu=doc.limits.cpu_share * doc.limits.cores,
+        is_first_start=doc.bootstrap,
     )
 
 
--- a/endivespindle/runtime/completion_runner.py
+++ b/endivespindle/runtime/completion_runner.py
@@ -156,6 +156,7 @@
         if delay_s:
             await asyncio.sleep(delay_s)
         start_s = self._clock.monotonic()
+        outcome = "cancelled"
         try:
             with job.awaiting_response() as mark_answered:
                 async with open_attempt(
@@ -176,19 +177,21 @@
         except BackendServerError as exc:
             outcome = exc.reason.code
             self._metrics.count_retry(RetryReason.RESUME)
-        self._log.event(
-            "item_attempt",
-            request_id=state.item.item_id,
-            job_id=job.job_id,
-            server=view.entry.name,
-            software=view.entry.software,
-            resumed_after=call.last_event_id,
-            events=len(state.chunks),
-            versions=state.versions,
-            load=round(view.load(), 1),
-            seconds=round(self._clock.monotonic() - start_s, 3),
-            outcome=outcome,
-        )
+        finally:
+            # Also when the job changes its owner, which cancels the attempt.
+            self._log.event(
+                "item_attempt",
+                request_id=state.item.item_id,
+                job_id=job.job_id,
+                server=view.entry.name,
+                software=view.entry.software,
+                resumed_after=call.last_event_id,
+                events=len(state.chunks),
+                versions=state.versions,
+                load=round(view.load(), 1),
+                seconds=round(self._clock.monotonic() - start_s, 3),
+                outcome=outcome,
+            )
         if outcome == "whole":
             state.is_generated = True
             state.phase = ItemPhase.SCORING
--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -41,6 +41,7 @@
     make_node_watcher,
     make_server_watcher,
 )
+from endivespindle.runtime.software_store import SoftwareRecorder
 from endivespindle.runtime.store_proxy import (
     StoreOperation,
     StoreReply,
@@ -53,6 +54,7 @@
 from endivespindle.serving.directory import ServerDirectory
 from endivespindle.serving.rate_shares import RateShares
 from endivespindle.serving.relay_selection import RelaySelector
+from endivespindle.serving.stream_origins import StreamOrigins
 from endivespindle.store.object_store import StatusStore, StoredObject
 from endivespindle.store.stored_lease import StoredLease
 
@@ -103,6 +105,7 @@
         "_rate_shares",
         "_retirements",
         "_session",
+        "_software",
         "_store",
         "_usage",
         "_weights",
@@ -173,6 +176,15 @@
             ids=ctx.ids,
             log=ctx.log,
         )
+        self._software = SoftwareRecorder(
+            store=store,
+            directory=self._directory,
+            may_write=self._lease.is_held,
+            is_first_start=settings.is_first_start,
+            clock=ctx.clock,
+            ids=ctx.ids,
+            log=ctx.log,
+        )
         self._caches = {
             kind: WatchCache(
                 clock=ctx.clock, max_age_s=2 * wait_s + _CACHE_AGE_MARGIN_S
@@ -186,6 +198,7 @@
         peer_server.serve_gateway_updates(self._apply_gateway_update)
         peer_server.serve_relay(self._handle_relay_request)
         peer_server.serve_store(self._handle_store_operation)
+        peer_server.serve_stream_origins(StreamOrigins(clock=ctx.clock))
 
     async def run(self) -> None:
         """Relays watches, keeps the lease, and runs duties while it is held."""
@@ -195,7 +208,10 @@
         watch_tasks = [
             asyncio.create_task(w.run()) for w in self._relay_watchers()
         ]
-        watch_tasks.append(asyncio.create_task(self._quarantines.run()))
+        watch_tasks += [
+            asyncio.create_task(self._quarantines.run()),
+            asyncio.create_task(self._software.run()),
+        ]
         try:
             while True:
                 try:
@@ -258,7 +274,7 @@
                 relayed,
                 self._directory,
                 wait_s=_SERVER_WATCH_WAIT_S,
-                on_change=lambda: None,
+                on_change=self._software.wake,
                 feed=self._caches[SERVER_KIND],
             ),
             make_node_watcher(self._ctx, self._store, self._caches[NODE_KIND]),
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -31,6 +31,7 @@
     make_node_watcher,
     make_server_watcher,
 )
+from endivespindle.runtime.software_store import StoredSoftwareProof
 from endivespindle.runtime.store_proxy import ProxiedStore
 from endivespindle.runtime.streaming import StreamRelay
 from endivespindle.runtime.usage_counter import UsageCounter
@@ -207,6 +208,12 @@
                 peers=peers,
                 log=parts.log,
             ),
+            proof=StoredSoftwareProof(
+                store=self._proxied_store(),
+                directory=self._directory,
+                clock=clock,
+                log=parts.log,
+            ),
             forwarder=forwarder,
             clock=clock,
             log=parts.log,
--- a/endivespindle/runtime/origin_exchange.py
+++ b/endivespindle/runtime/origin_exchange.py
@@ -15,10 +15,13 @@
 
 __all__ = ["OriginDirectory", "SharedOrigins"]
 
-# Gateways that keep the origin of a stream besides the one that relays it, and
-# those that are asked for it: one more, as their order changes when one leaves.
-_KEEPERS = 2
-_ASKED = 3
+# Nodes of each role that keep the origin of a stream besides the gateway that
+# relays it, and those that are asked for it: one more, as their order changes
+# when one leaves. Controllers run on other VMs than gateways and outlast the
+# loss of all of these.
+_KEEPERS = 1
+_ASKED = 2
+_KEEPER_ROLES = (NodeRole.CONTROLLER, NodeRole.GATEWAY)
 # Longest wait for a keeper, in seconds; the stream's first event waits for it.
 _TIMEOUT_S = 0.15
 
@@ -46,11 +49,11 @@
 
 
 class SharedOrigins(OriginDirectory):
-    """Keeps each origin at two further gateways, chosen by rendezvous hashing.
+    """Keeps each origin at a further gateway and at a controller.
 
-    A caller takes a stream up at any gateway, also after the one that relayed
-    it was killed. The messages of a gateway grow with its streams and not with
-    the fleet.
+    Both are chosen by rendezvous hashing. A caller takes a stream up at any
+    gateway, also after all gateways were killed. The messages of a gateway grow
+    with its streams and not with the fleet.
 
     Args:
         origins: Origins that this VM keeps.
@@ -89,8 +92,8 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         if wait and tasks:
-            # One of them suffices; a silent one must not hold the stream.
-            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            # A controller, if there is one. Its call has a timeout.
+            await tasks[0]
 
     async def find(self, request_id: str) -> str | None:
         """Returns the software version that began a stream; None if unknown."""
@@ -112,10 +115,13 @@
         return None
 
     def _keepers(self, request_id: str, count: int) -> list[NodeRecord]:
-        nodes = {n.name: n for n in self._fleet.peers(NodeRole.GATEWAY)}
-        names = [*nodes, self._fleet.local_node.name]
-        ranked = rendezvous_rank(request_id, names)[:count]
-        return [nodes[name] for name in ranked if name in nodes]
+        """Returns that many nodes of each role, the controllers first."""
+        keepers: list[NodeRecord] = []
+        for role in _KEEPER_ROLES:
+            nodes = {node.name: node for node in self._fleet.peers(role)}
+            ranked = rendezvous_rank(request_id, list(nodes))[:count]
+            keepers += [nodes[name] for name in ranked]
+        return keepers
 
     async def _send(self, node: NodeRecord, origin: StreamOrigin) -> None:
         try:
--- a/endivespindle/runtime/settings.py
+++ b/endivespindle/runtime/settings.py
@@ -85,6 +85,7 @@
         duties: Duties that the platform requires.
         cpu: CPU seconds per second available to this VM, in cores of the
             platform's usual speed.
+        is_first_start: Whether the fleet starts for the first time.
     """
 
     name: str
@@ -102,3 +103,4 @@
     memory_mb: int
     duties: tuple[str, ...] = ()
     cpu: float = 1.0
+    is_first_start: bool = False
--- a/endivespindle/runtime/streaming.py
+++ b/endivespindle/runtime/streaming.py
@@ -15,6 +15,7 @@
 from endivespindle.runtime.forwarding import Forwarder
 from endivespindle.runtime.origin_exchange import OriginDirectory
 from endivespindle.runtime.request_guard import RequestGuard
+from endivespindle.runtime.software_store import SoftwareProof
 from endivespindle.runtime.telemetry import EventLog, NodeMetrics
 from endivespindle.schema.generated.caller import RunState
 from endivespindle.serving.calls import ServerApi, ServerCall, ServerResponse
@@ -87,6 +88,7 @@
         log: Event log.
         metrics: Metrics of this node.
         origins: Software versions that began streams.
+        proof: Tells which software began a stream of unknown origin.
     """
 
     __slots__ = (
@@ -96,6 +98,7 @@
         "_log",
         "_metrics",
         "_origins",
+        "_proof",
     )
 
     def __init__(
@@ -107,8 +110,10 @@
         log: EventLog,
         metrics: NodeMetrics,
         origins: OriginDirectory,
+        proof: SoftwareProof,
     ):
         self._api = api
+        self._proof = proof
         self._origins = origins
         self._forwarder = forwarder
         self._clock = clock
@@ -258,26 +263,28 @@
 
     async def _find_software(
         self, call: ServerCall, plan: ForwardPlan, resumes: str | None
-    ) -> str | None:
+    ) -> str:
         """Returns the software version that began a stream.
 
-        Returns:
-            None if all servers have had the same one lately.
-
         Raises:
             RefusedError: It is not known, and may be any of several.
         """
         software = await self._origins.find(resumes) if resumes else None
+        is_remembered = software is not None
         versions = self._forwarder.software_versions(plan.service)
+        if software is None and len(versions) <= 1:
+            # One that left before this VM started is not among them.
+            software = await self._proof.sole_software(plan.service)
         self._log.event(
             "stream_taken_up",
             request_id=call.request_id,
             resumes=resumes,
             software=software,
+            remembered=is_remembered,
             versions=sorted(versions),
             last_event=call.last_event_id,
         )
-        if software is None and len(versions) > 1:
+        if software is None:
             raise RefusedError(
                 Reason.STREAM_ORIGIN_UNKNOWN, retry_after_s=_RETRY_AFTER_S
             )
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -16,6 +16,7 @@
 from endivespindle.serving.rate_meter import RateMeter
 from endivespindle.serving.rate_shares import LimitReport, LimitShare
 from endivespindle.serving.server_entry import ServerEntry
+from endivespindle.serving.stream_origins import STREAM_MEMORY_S
 
 __all__ = ["ServerDirectory", "ServerView"]
 
@@ -29,9 +30,6 @@
 _SMOOTHING = 0.2
 # The same for the event interval; there are many events a second.
 _EVENT_SMOOTHING = 0.05
-# Time for which the software versions of servers that left are remembered:
-# streams that they began may be taken up again.
-_SOFTWARE_MEMORY_S = 120.0
 # Half-life of the other VMs' part of a reported load: reports come with
 # responses, and a response occupies a slot for about this long.
 _LOAD_HALF_LIFE_S = 1.0
@@ -384,9 +382,17 @@
         views = self._by_service.get(service, {}).values()
         return [view for view in views if view.accepts_requests()]
 
+    def present_software(self) -> dict[str, set[str]]:
+        """Returns the software versions of the known servers, by service."""
+        return {
+            service: {view.entry.software for view in views.values()}
+            for service, views in self._by_service.items()
+            if views
+        }
+
     def software_versions(self, service: str) -> set[str]:
         """Returns the software versions of a service, now and until lately."""
-        since_s = self._clock.monotonic() - _SOFTWARE_MEMORY_S
+        since_s = self._clock.monotonic() - STREAM_MEMORY_S
         seen_s = self._software_seen_s.get(service, {})
         current = self._by_service.get(service, {}).values()
         return {view.entry.software for view in current} | {
--- a/endivespindle/serving/stream_origins.py
+++ b/endivespindle/serving/stream_origins.py
@@ -2,10 +2,10 @@
 
 from endivespindle.core.clock import Clock
 
-__all__ = ["StreamOrigins"]
+__all__ = ["STREAM_MEMORY_S", "StreamOrigins"]
 
 # Time for which a caller may take a stream up again: longer than any deadline.
-_MAX_AGE_S = 120.0
+STREAM_MEMORY_S = 600.0
 _MAX_STREAMS = 20_000
 
 
@@ -38,7 +38,7 @@
         oldest = next(iter(self._origins))
         while (
             len(self._origins) > _MAX_STREAMS
-            or now_s - self._origins[oldest][1] > _MAX_AGE_S
+            or now_s - self._origins[oldest][1] > STREAM_MEMORY_S
         ):
             del self._origins[oldest]
             oldest = next(iter(self._origins))
@@ -46,6 +46,6 @@
     def find(self, request_id: str) -> str | None:
         """Returns the software version that began a stream, if known."""
         software, recorded_s = self._origins.get(request_id, (None, 0.0))
-        if self._clock.monotonic() - recorded_s > _MAX_AGE_S:
+        if self._clock.monotonic() - recorded_s > STREAM_MEMORY_S:
             return None
         return software
--- a/endivespindle/standins/users_platform.py
+++ b/endivespindle/standins/users_platform.py
@@ -66,7 +66,7 @@
         app.router.add_put("/objects/{kind}/{name}/status", self._status)
         app.router.add_post("/usage", self._usage)
         app.router.add_post("/scale", self._scale)
-        self._runner = web.AppRunner(app, access_log=None)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self._runner.setup()
         await web.TCPSite(self._runner, "127.0.0.1", 0).start()
         self.port = self._runner.addresses[0][1]
