Send nothing to evacuated data centres, and bound what cold servers get

Change: evacuations are a relayed kind; a server of an evacuated data centre accepts no requests, and a gateway that has just started sends nothing before it knows the evacuations. A cold server is limited by the division that serves named limits. Capacity is ordered in the other data centres meanwhile. Both take effect only where settings and configuration name them.

--- a/endivespindle/core/reasons.py
+++ b/endivespindle/core/reasons.py
@@ -131,6 +131,11 @@
         RunState.NOT_RUN,
         "The backend server is shutting down.",
     )
+    BACKEND_EVACUATED = (
+        503,
+        RunState.NOT_RUN,
+        "The data centre of the backend server is evacuated.",
+    )
     BACKEND_LOST = (
         502,
         RunState.UNKNOWN,
--- a/endivespindle/platform/documents.py
+++ b/endivespindle/platform/documents.py
@@ -22,6 +22,7 @@
 __all__ = [
     "CONFIG_KIND",
     "CONFIG_NAME",
+    "EVACUATION_KIND",
     "RETIREMENT_KIND",
     "SERVER_KIND",
     "VERSION_KIND",
@@ -36,6 +37,8 @@
 SERVER_KIND = "servers"
 VERSION_KIND = "versions"
 RETIREMENT_KIND = "retirements"
+# The name of an object of this kind is the data centre that is evacuated.
+EVACUATION_KIND = "evacuations"
 
 # "rollout" is the platform's name for a route of batch jobs.
 _ROUTE_KINDS = {
@@ -100,6 +103,8 @@
     max_conns: int = 64
     engine: _Engine | None = None
     scaling: _Scaling | None = None
+    # Requests per second that a cold server tolerates.
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -135,6 +140,8 @@
     spot: bool = False
     # Milliseconds; the only field that the platform spells in snake case.
     leaves_ms: float | None = msgspec.field(default=None, name="leaves_ms")
+    # How much longer the server stays cold.
+    cold_left_ms: float = 0.0
     # Start time of this incarnation in Unix milliseconds.
     born: int = 0
 
@@ -197,6 +204,7 @@
         software=doc.version,
         spot=doc.spot,
         leaves_in_s=None if leaves_ms is None else leaves_ms / 1000,
+        cold_for_s=max(0.0, doc.cold_left_ms / 1000),
     )
 
 
@@ -268,6 +276,7 @@
         max_connections=doc.max_conns,
         engine=engine,
         scaling=scaling,
+        cold_rate_per_s=doc.cold_per_s,
     )
 
 
--- a/endivespindle/platform/headers.py
+++ b/endivespindle/platform/headers.py
@@ -3,12 +3,12 @@
 import math
 from collections.abc import Iterable, Mapping
 
+from endivespindle.backends.http_headers import end_to_end_headers
 from endivespindle.runtime.request_metadata import RequestMetadata
 from endivespindle.serving.calls import ResponseHead, ServerCall, ServerLoad
 from endivespindle.serving.server_entry import ServerEntry
 
 __all__ = [
-    "end_to_end_headers",
     "matches_request",
     "parse_request_metadata",
     "parse_response_head",
@@ -28,6 +28,7 @@
 _NOT_RUN = "X-Not-Executed"
 _LEAVING = "Server-Leaving"
 _LIMIT = "Server-Limit"
+_COLD_MS = "X-Cold-Ms"
 _WEIGHT_VERSION = "X-Weight-Versions"
 _REQUEST_PRIORITY = "X-Request-Priority"
 _WAIT_MS = "X-Wait-Ms"
@@ -36,23 +37,6 @@
 _KEY_SCHEME = "bearer "
 _MISDIRECTED = 421
 
-# Hop-by-hop headers (RFC 9110, section 7.6.1), and headers set anew per hop.
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 # Set only by this system; values sent by a caller are dropped.
 _SYSTEM_HEADERS = frozenset(
     name.lower()
@@ -68,25 +52,6 @@
 )
 
 
-def end_to_end_headers(
-    headers: Iterable[tuple[str, str]],
-) -> list[tuple[str, str]]:
-    """Returns the headers without the hop-by-hop ones."""
-    pairs = list(headers)
-    connection_options = {
-        option.strip().lower()
-        for name, value in pairs
-        if name.lower() == "connection"
-        for option in value.split(",")
-    }
-    return [
-        (name, value)
-        for name, value in pairs
-        if name.lower() not in _HOP_BY_HOP
-        and name.lower() not in connection_options
-    ]
-
-
 def parse_request_metadata(headers: Mapping[str, str]) -> RequestMetadata:
     """Parses the request metadata that a caller sends in headers."""
     key = headers.get(_AUTHORIZATION, "")
@@ -143,6 +108,7 @@
         leaving=headers.get(_LEAVING, "").strip() == "1"
         and status != _MISDIRECTED,
         limit_per_s=_parse_limit(headers.get(_LIMIT)),
+        cold_for_s=_parse_ms_as_s(headers.get(_COLD_MS)),
     )
 
 
--- a/endivespindle/platform/settings_file.py
+++ b/endivespindle/platform/settings_file.py
@@ -35,6 +35,9 @@
     usage_window_s: float = 5
     usage_late_s: float = 10
     status_s: float = 120
+    evacuate_ms: float | None = None
+    cold_over: float = 1.0
+    cold_slack: float = 0.0
 
 
 class _Listen(msgspec.Struct, rename="camel"):
@@ -148,6 +151,11 @@
         usage_window_s=bounds.usage_window_s,
         usage_late_s=bounds.usage_late_s,
         status_s=bounds.status_s,
+        evacuate_s=(
+            None if bounds.evacuate_ms is None else bounds.evacuate_ms / 1000
+        ),
+        cold_rate_factor=bounds.cold_over,
+        cold_rate_slack=bounds.cold_slack,
     )
 
 
--- a/endivespindle/runtime/attempts.py
+++ b/endivespindle/runtime/attempts.py
@@ -48,9 +48,12 @@
     """
     if not view.accepts_requests():
         raise BackendServerError(
-            f"the server is {view.availability.value}",
+            f"the server is {view.availability.value}"
+            f"{' in an evacuated data centre' * view.is_evacuated}",
             ran=RunState.NOT_RUN,
-            reason=Reason.BACKEND_LEAVING,
+            reason=Reason.BACKEND_EVACUATED
+            if view.is_evacuated
+            else Reason.BACKEND_LEAVING,
         )
     start_s = clock.monotonic()
     view.begin_request()
@@ -74,6 +77,8 @@
             if response.head.status != _STATUS_MISDIRECTED:
                 view.record_response(sent_s=start_s)
                 view.record_limit(response.head.limit_per_s)
+                if response.head.cold_for_s is not None:
+                    view.record_cold(response.head.cold_for_s)
             if response.head.load is not None:
                 view.record_load(
                     running=response.head.load.running,
--- a/endivespindle/runtime/capacity_orders.py
+++ b/endivespindle/runtime/capacity_orders.py
@@ -109,7 +109,7 @@
                 requests = plan_capacity(
                     spec,
                     self._directory.available_servers(spec.name),
-                    self._ctx.settings.data_centres,
+                    self._usable_data_centres(),
                     peak=self._slot_demand.peak(spec.name),
                     ordered=self._ordered_capacity.get(spec.name, {}),
                     may_scale_down=clock.monotonic() - start_s
@@ -118,6 +118,19 @@
                 for request in requests:
                     await self._order_servers(request)
 
+    def _usable_data_centres(self) -> list[str]:
+        """Returns the data centres in which servers may be ordered.
+
+        The servers of an evacuated one do not count, so that what they served
+        is ordered in the others.
+        """
+        evacuated = self._directory.evacuated_data_centres()
+        return [
+            name
+            for name in self._ctx.settings.data_centres
+            if name not in evacuated
+        ]
+
     async def _read_baseline_count(self, service: str) -> bool:
         """Reads how many servers a service had before any was ordered.
 
--- a/endivespindle/runtime/context.py
+++ b/endivespindle/runtime/context.py
@@ -7,6 +7,8 @@
 from endivespindle.runtime.fleet_view import FleetView
 from endivespindle.runtime.settings import NodeSettings
 from endivespindle.runtime.telemetry import EventLog, NodeMetrics
+from endivespindle.serving.cold_servers import cold_rate_limit
+from endivespindle.serving.configuration import ServiceSpec
 from endivespindle.serving.crash_evidence import CrashEvidence
 from endivespindle.serving.crash_policy import attempt_rule
 from endivespindle.serving.directory import ServerView
@@ -80,6 +82,34 @@
             in_flight=view.in_flight,
         )
 
+    def cold_limit(self, spec: ServiceSpec | None) -> float | None:
+        """Returns the requests per second that a cold server may be sent.
+
+        Args:
+            spec: Its service; None if the configuration does not name it.
+
+        Returns:
+            The sum over all VMs; None if there is no bound.
+        """
+        timing = self.settings.timing
+        return cold_rate_limit(
+            spec.cold_rate_per_s if spec is not None else 0.0,
+            factor=timing.cold_rate_factor,
+            slack=timing.cold_rate_slack,
+        )
+
+    def record_cold_server(self, view: ServerView) -> None:
+        """Logs and counts a server that becomes cold."""
+        self.metrics.count_cold_server(view.entry.service)
+        self.log.event(
+            "server_cold",
+            server=view.entry.name,
+            service=view.entry.service,
+            data_centre=view.entry.data_centre,
+            started_ms=view.entry.started_ms,
+            limit_per_s=view.rate_limit.limit_per_s,
+        )
+
     def record_server_limit(self, view: ServerView) -> None:
         """Logs and counts a change of the request rate a server accepts."""
         limit_per_s = view.rate_limit.limit_per_s
--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -9,6 +9,7 @@
 from endivespindle.peers.tasks import end_tasks
 from endivespindle.platform.documents import (
     CONFIG_KIND,
+    EVACUATION_KIND,
     RETIREMENT_KIND,
     SERVER_KIND,
     VERSION_KIND,
@@ -38,6 +39,7 @@
 from endivespindle.runtime.shared_watchers import (
     NODE_WATCH_WAIT_S,
     make_config_watcher,
+    make_evacuation_watcher,
     make_node_watcher,
     make_server_watcher,
 )
@@ -79,6 +81,9 @@
 _CACHE_AGE_MARGIN_S = 0.4
 # Wait of a watch of the backend servers.
 _SERVER_WATCH_WAIT_S = 3.0
+# Wait of a watch of the evacuations, as a share of the time by which one has to
+# be in force.
+_EVACUATION_WAIT_SHARE = 0.3
 
 
 class Controller:
@@ -141,6 +146,7 @@
             clock=ctx.clock,
             on_leaving=ctx.record_leaving_server,
             on_limit=ctx.record_server_limit,
+            are_evacuations_known=settings.timing.evacuate_s is None,
         )
         self._peers = peers
         self._rate_shares = RateShares(clock=ctx.clock)
@@ -193,6 +199,7 @@
                 (CONFIG_KIND, self._config_wait_s()),
                 (SERVER_KIND, _SERVER_WATCH_WAIT_S),
                 (NODE_KIND, NODE_WATCH_WAIT_S),
+                (EVACUATION_KIND, self._evacuation_wait_s()),
             )
         }
         peer_server.serve_gateway_updates(self._apply_gateway_update)
@@ -261,7 +268,20 @@
                 "relay_stale", relay=name, age_s=round(lag_s, 2)
             ),
         )
+        watchers = []
+        if ctx.settings.timing.evacuate_s is not None:
+            watchers.append(
+                make_evacuation_watcher(
+                    ctx,
+                    relayed,
+                    self._directory,
+                    wait_s=self._evacuation_wait_s(),
+                    on_change=lambda: None,
+                    feed=self._caches[EVACUATION_KIND],
+                )
+            )
         return [
+            *watchers,
             make_config_watcher(
                 self._ctx,
                 relayed,
@@ -288,6 +308,10 @@
         peers = self._ctx.fleet.peers(NodeRole.CONTROLLER)
         return [node for node in peers if node.name == name]
 
+    def _evacuation_wait_s(self) -> float:
+        evacuate_s = self._ctx.settings.timing.evacuate_s
+        return (evacuate_s or 0.0) * _EVACUATION_WAIT_SHARE
+
     def _config_wait_s(self) -> float:
         timing = self._ctx.settings.timing
         return min(
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -28,6 +28,7 @@
 from endivespindle.runtime.settings import Endpoint, NodeRole
 from endivespindle.runtime.shared_watchers import (
     make_config_watcher,
+    make_evacuation_watcher,
     make_node_watcher,
     make_server_watcher,
 )
@@ -57,6 +58,9 @@
 # Probes detect a dead connection of the server watch, so that its wait only
 # bounds how long a lost event of the store goes unnoticed.
 _SERVER_WATCH_WAIT_S = 5.0
+# Wait of one watch of the evacuations as a fraction of the time by which one
+# has to be in force: a relay that falls silent is replaced within it.
+_EVACUATION_WAIT_FRACTION = 0.3
 # Nodes join and leave rarely, and the other watches detect a silent relay
 # sooner.
 _NODE_WATCH_WAIT_S = 10.0
@@ -133,6 +137,11 @@
             on_limit=parts.record_server_limit,
             on_response=self._record_response,
             count_vms=lambda: len(parts.fleet.peers(NodeRole.GATEWAY)) + 1,
+            on_cold=parts.record_cold_server,
+            cold_limit=lambda service: parts.cold_limit(
+                self._config.service(service)
+            ),
+            are_evacuations_known=settings.timing.evacuate_s is None,
         )
         self._relay_selector = RelaySelector(
             vm=settings.name,
@@ -265,6 +274,7 @@
             wait_s=_SERVER_WATCH_WAIT_S,
             on_change=self._runner.wake,
         )
+        self._watch_evacuations()
         for coro in (
             config.run(),
             servers.run(),
@@ -296,6 +306,23 @@
             settings.readiness,
         )
 
+    def _watch_evacuations(self) -> None:
+        """Follows evacuations, if the deployment has them."""
+        evacuate_s = self._ctx.settings.timing.evacuate_s
+        if evacuate_s is None:
+            return
+        wait_s = evacuate_s * _EVACUATION_WAIT_FRACTION
+        watcher = make_evacuation_watcher(
+            self._ctx,
+            self._relayed_store(
+                max_wait_s=wait_s, wait_for_relay_s=_RELAY_DISCOVERY_TIMEOUT_S
+            ),
+            self._directory,
+            wait_s=wait_s,
+            on_change=self._runner.wake,
+        )
+        self._tasks.append(asyncio.create_task(watcher.run()))
+
     def _relayed_store(
         self,
         *,
--- a/endivespindle/runtime/settings.py
+++ b/endivespindle/runtime/settings.py
@@ -38,6 +38,11 @@
         usage_window_s: Length of a usage window.
         usage_late_s: Time after a window's end at which its report is due.
         status_s: Time for which the results of an ended job must be retained.
+        evacuate_s: Time after its acknowledgement by which an evacuation must
+            be in force; None if data centres are not evacuated.
+        cold_rate_factor: Factor of the rate that a cold server bears up to
+            which it may be sent requests, in any second.
+        cold_rate_slack: Requests that it may be sent in addition.
     """
 
     revoke_s: float = 5.0
@@ -48,6 +53,9 @@
     usage_window_s: float = 5.0
     usage_late_s: float = 10.0
     status_s: float = 120.0
+    evacuate_s: float | None = None
+    cold_rate_factor: float = 1.0
+    cold_rate_slack: float = 0.0
 
 
 class PlatformLimits(msgspec.Struct, kw_only=True, frozen=True):
--- a/endivespindle/runtime/shared_watchers.py
+++ b/endivespindle/runtime/shared_watchers.py
@@ -7,6 +7,7 @@
 from endivespindle.platform.documents import (
     CONFIG_KIND,
     CONFIG_NAME,
+    EVACUATION_KIND,
     SERVER_KIND,
     decode_config,
     decode_server,
@@ -22,6 +23,7 @@
 __all__ = [
     "NODE_WATCH_WAIT_S",
     "make_config_watcher",
+    "make_evacuation_watcher",
     "make_node_watcher",
     "make_server_watcher",
 ]
@@ -129,6 +131,58 @@
     )
 
 
+def make_evacuation_watcher(
+    ctx: RuntimeContext,
+    store: ObjectStore,
+    directory: ServerDirectory,
+    *,
+    wait_s: float,
+    on_change: Callable[[], None],
+    feed: WatchCache | None = None,
+) -> KindWatcher:
+    """Returns a watcher that tells the directory of evacuated data centres.
+
+    Args:
+        ctx: Shared components of the node.
+        store: Object store client.
+        directory: Server directory, updated from the store.
+        wait_s: Seconds for which one watch waits.
+        on_change: Called after each change.
+        feed: Republishes the objects to other nodes if this node is a relay.
+    """
+    evacuated: dict[str, int] = {}
+
+    def apply() -> None:
+        directory.set_evacuated(evacuated)
+        ctx.log.state_change(
+            "data_centres_evacuated",
+            data_centres=sorted(evacuated),
+            version=max(evacuated.values(), default=None),
+        )
+        on_change()
+
+    def apply_object(obj: StoredObject) -> None:
+        if obj.value is None:
+            evacuated.pop(obj.name, None)
+        else:
+            evacuated[obj.name] = obj.version
+        apply()
+
+    def apply_list(objects: list[StoredObject]) -> None:
+        evacuated.clear()
+        evacuated.update({obj.name: obj.version for obj in objects})
+        apply()
+
+    return _make_watcher(
+        ctx,
+        store,
+        EVACUATION_KIND,
+        wait_s,
+        _Handlers(apply_list, apply_object),
+        feed,
+    )
+
+
 def make_node_watcher(
     ctx: RuntimeContext, store: ObjectStore, feed: WatchCache | None = None
 ) -> KindWatcher:
--- a/endivespindle/runtime/telemetry.py
+++ b/endivespindle/runtime/telemetry.py
@@ -161,6 +161,7 @@
     """Counters of a node, and a histogram of request latencies."""
 
     __slots__ = (
+        "_cold_servers",
         "_latency",
         "_quarantines",
         "_server_limits",
@@ -179,6 +180,10 @@
             "Requests under which too many backend servers crashed.",
         )
         self._quarantines.set({}, 0)
+        self._cold_servers = self._make_counter(
+            "cold_servers_total",
+            "Backend servers that became cold.",
+        )
         self._server_limits = self._make_counter(
             "server_limits_total",
             "Limits of their request rate that backend servers named anew.",
@@ -188,6 +193,10 @@
         """Counts a request that is kept from backend servers from now on."""
         self._quarantines.inc({})
 
+    def count_cold_server(self, service: str) -> None:
+        """Counts a server that became cold."""
+        self._cold_servers.inc({"service": service})
+
     def count_server_limit(self, service: str) -> None:
         """Counts a server that named another limit of its request rate."""
         self._server_limits.inc({"service": service})
--- a/endivespindle/serving/calls.py
+++ b/endivespindle/serving/calls.py
@@ -83,6 +83,8 @@
         leaving: Whether the server announces its shutdown.
         limit_per_s: Requests per second that the server accepts from all VMs;
             None if it names no limit.
+        cold_for_s: Seconds for which the server stays cold; None if it does
+            not say.
     """
 
     status: int
@@ -93,6 +95,7 @@
     load: ServerLoad | None = None
     leaving: bool = False
     limit_per_s: float | None = None
+    cold_for_s: float | None = None
 
 
 class StreamEvent(msgspec.Struct, kw_only=True, frozen=True):
--- a/endivespindle/serving/configuration.py
+++ b/endivespindle/serving/configuration.py
@@ -111,13 +111,25 @@
 
 
 class ServiceSpec(msgspec.Struct, kw_only=True, frozen=True):
-    """A service to which routes send requests."""
+    """A service to which routes send requests.
+
+    Attributes:
+        name: Name, unique in the configuration.
+        health_path: Path of its servers' health checks.
+        max_connections: Connections that a server accepts from all VMs.
+        engine: Properties of its model engines; None for a plain service.
+        scaling: Limits and prices for ordering its servers; None if it has a
+            fixed number.
+        cold_rate_per_s: Requests per second that a cold server bears; 0 if it
+            bears any.
+    """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineSpec | None = None
     scaling: ScalingSpec | None = None
+    cold_rate_per_s: float = 0.0
 
 
 class CallerLimits(msgspec.Struct, kw_only=True, frozen=True):
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -1,5 +1,6 @@
 """Backend servers known to one VM, with their observed state."""
 
+import functools
 import math
 from collections.abc import Callable, Iterable, Iterator
 
@@ -46,10 +47,14 @@
         on_response: Called with the monotonic time at which a request was
             sent, when the response to it arrives.
         count_vms: Returns the number of VMs that may send it requests.
+        cold_limit: Returns the requests per second from all VMs while the
+            server is cold; None if there is no bound.
+        on_cold: Called when the server becomes cold.
         is_leaving: Whether a response announced its shutdown before.
 
     Attributes:
         entry: Its registered entry.
+        is_evacuated: Whether nothing may be sent to its data centre.
         rate_limit: Request rate that it accepts.
         models: Models whose requests may be sent there.
         availability: Whether it accepts new requests.
@@ -68,6 +73,7 @@
         "_clock",
         "_connections",
         "_consecutive_failures",
+        "_on_cold",
         "_on_leaving",
         "_on_limit",
         "_on_response",
@@ -81,6 +87,7 @@
         "event_interval_s",
         "failure_rate",
         "in_flight",
+        "is_evacuated",
         "models",
         "rate_limit",
         "versions",
@@ -95,13 +102,19 @@
         on_limit: Callable[["ServerView"], None],
         on_response: Callable[["ServerView", float], None],
         count_vms: Callable[[], int],
+        cold_limit: Callable[[], float | None],
+        on_cold: Callable[["ServerView"], None],
         is_leaving: bool = False,
     ):
         self._clock = clock
+        self._on_cold = on_cold
         self._on_leaving = on_leaving
         self._on_response = on_response
         self._on_limit = on_limit
-        self.rate_limit = ServerRateLimit(clock=clock, count_vms=count_vms)
+        self.rate_limit = ServerRateLimit(
+            clock=clock, count_vms=count_vms, cold_limit=cold_limit
+        )
+        self.is_evacuated = False
         self._connections = ConnectionEstimate(clock=clock)
         self._consecutive_failures = 0
         self._other_load = 0.0
@@ -119,18 +132,25 @@
             Availability.LEAVING if is_leaving else Availability.READY
         )
         self._apply_entry_state()
+        self.record_cold(entry.cold_for_s)
 
     def update(self, entry: ServerEntry) -> None:
         """Applies a newer entry of the same incarnation."""
         self.entry = entry
         self._apply_entry_state()
+        self.record_cold(entry.cold_for_s)
         for model, version in entry.versions.items():
             # Entries lag behind responses, and versions only rise.
             self.versions[model] = max(version, self.versions.get(model, 0))
 
     def accepts_requests(self) -> bool:
         """Returns whether new requests may be sent to the server."""
-        return self.availability is Availability.READY
+        return self.availability is Availability.READY and not self.is_evacuated
+
+    def record_cold(self, cold_for_s: float) -> None:
+        """Records for how much longer the server is cold, in seconds."""
+        if self.rate_limit.record_cold(cold_for_s):
+            self._on_cold(self)
 
     def announce_leaving(self) -> None:
         """Records that a response announced the server's shutdown."""
@@ -288,14 +308,23 @@
         on_response: Called with a server and the monotonic time at which a
             request was sent to it, when the response arrives.
         count_vms: Returns the number of VMs that may send requests.
+        on_cold: Called when a server becomes cold.
+        cold_limit: Returns the requests per second from all VMs that a cold
+            server of a service may be sent; None if there is no bound.
+        are_evacuations_known: Whether the evacuated data centres are known;
+            until then nothing is sent.
     """
 
     __slots__ = (
+        "_are_evacuations_known",
         "_by_service",
         "_clock",
+        "_cold_limit",
         "_count_vms",
         "_demand",
+        "_evacuated",
         "_leaving",
+        "_on_cold",
         "_on_leaving",
         "_on_limit",
         "_on_response",
@@ -313,8 +342,15 @@
             None
         ),
         count_vms: Callable[[], int] = lambda: 1,
+        on_cold: Callable[[ServerView], None] = lambda view: None,
+        cold_limit: Callable[[str], float | None] = lambda service: None,
+        are_evacuations_known: bool = True,
     ):
         self._clock = clock
+        self._on_cold = on_cold
+        self._cold_limit = cold_limit
+        self._are_evacuations_known = are_evacuations_known
+        self._evacuated: frozenset[str] = frozenset()
         self._on_response = on_response
         self._on_leaving = on_leaving
         self._on_limit = on_limit
@@ -360,10 +396,13 @@
             on_limit=self._on_limit,
             on_response=self._on_response,
             count_vms=self._count_vms,
+            cold_limit=functools.partial(self._cold_limit, entry.service),
+            on_cold=self._on_cold,
             is_leaving=self._leaving.is_leaving(
                 entry.name, incarnation=entry.started_ms
             ),
         )
+        view.is_evacuated = self._is_evacuated(view)
         self._views[entry.name] = view
         self._by_service.setdefault(entry.service, {})[entry.name] = view
         return view
@@ -377,6 +416,23 @@
             seen_s[view.entry.software] = self._clock.monotonic()
             self._by_service[view.entry.service].pop(name, None)
 
+    def evacuated_data_centres(self) -> frozenset[str]:
+        """Returns the data centres to whose servers nothing is sent."""
+        return self._evacuated
+
+    def set_evacuated(self, data_centres: Iterable[str]) -> None:
+        """Replaces the data centres to whose servers nothing is sent."""
+        self._are_evacuations_known = True
+        self._evacuated = frozenset(data_centres)
+        for view in self._views.values():
+            view.is_evacuated = self._is_evacuated(view)
+
+    def _is_evacuated(self, view: ServerView) -> bool:
+        return (
+            not self._are_evacuations_known
+            or view.entry.data_centre in self._evacuated
+        )
+
     def available_servers(self, service: str) -> list[ServerView]:
         """Returns the servers of a service that accept new requests."""
         views = self._by_service.get(service, {}).values()
@@ -421,7 +477,10 @@
                 started_ms=view.entry.started_ms,
                 service=view.entry.service,
                 limit_per_s=view.rate_limit.limit_per_s,
-                age_s=view.rate_limit.evidence_age_s(),
+                age_s=0.0
+                if view.rate_limit.is_cold()
+                else view.rate_limit.evidence_age_s(),
+                is_cold=view.rate_limit.is_cold(),
             )
             for view in self._views.values()
             if view.rate_limit.is_reported()
@@ -436,7 +495,8 @@
         view = self._views.get(report.server)
         if view is None or view.entry.started_ms != report.started_ms:
             return None
-        view.record_limit(report.limit_per_s, age_s=report.age_s)
+        if not report.is_cold:
+            view.record_limit(report.limit_per_s, age_s=report.age_s)
         return view
 
     def apply_shares(self, shares: Iterable[LimitShare]) -> None:
--- a/endivespindle/serving/rate_limit.py
+++ b/endivespindle/serving/rate_limit.py
@@ -25,31 +25,42 @@
     and without a share, so that many VMs that were idle do not exceed the limit
     together when they send at once.
 
+    A cold server is limited in the same way, by the rate that it bears.
+
     Args:
         clock: Clock of this VM.
         count_vms: Returns the number of VMs that may send requests. Without an
             assigned share each of them uses an equal part.
-
-    Attributes:
-        limit_per_s: Requests per second from all VMs; None without a limit.
+        cold_limit: Returns the requests per second from all VMs while the
+            server is cold; None if there is no bound.
     """
 
     __slots__ = (
         "_burst",
         "_clock",
+        "_cold_limit",
+        "_cold_until_s",
         "_count_vms",
         "_filled_s",
+        "_named_per_s",
         "_seen_s",
         "_share_per_s",
         "_share_seen_s",
         "_tokens",
         "_was_limited",
-        "limit_per_s",
     )
 
-    def __init__(self, *, clock: Clock, count_vms: Callable[[], int]):
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        count_vms: Callable[[], int],
+        cold_limit: Callable[[], float | None] = lambda: None,
+    ):
         self._burst = 1.0
         self._clock = clock
+        self._cold_limit = cold_limit
+        self._cold_until_s = -math.inf
         self._count_vms = count_vms
         self._filled_s = clock.monotonic()
         self._seen_s = -math.inf
@@ -57,7 +68,35 @@
         self._share_seen_s = -math.inf
         self._tokens = 0.0
         self._was_limited = False
-        self.limit_per_s: float | None = None
+        self._named_per_s: float | None = None
+
+    @property
+    def limit_per_s(self) -> float | None:
+        """Requests per second from all VMs; None without a limit."""
+        if not self.is_cold():
+            return self._named_per_s
+        limits = (self._named_per_s, self._cold_limit())
+        return min((x for x in limits if x is not None), default=None)
+
+    def is_cold(self) -> bool:
+        """Returns whether the server has said that it is cold now."""
+        return self._clock.monotonic() < self._cold_until_s
+
+    def record_cold(self, cold_for_s: float) -> bool:
+        """Records for how much longer the server is cold.
+
+        Returns:
+            Whether it was not known to be cold.
+        """
+        now_s = self._clock.monotonic()
+        was_cold = self.is_cold()
+        if cold_for_s <= 0.0 or now_s + cold_for_s <= self._cold_until_s:
+            return False
+        if self.limit_per_s is None:
+            self._tokens = 0.0
+            self._filled_s = now_s
+        self._cold_until_s = now_s + cold_for_s
+        return not was_cold
 
     def record(self, limit_per_s: float | None, *, age_s: float = 0.0) -> bool:
         """Records what a response said, unless a newer one is known.
@@ -75,12 +114,12 @@
         self._seen_s = now_s - age_s
         if limit_per_s is not None:
             limit_per_s = max(_MIN_LIMIT_PER_S, limit_per_s)
-        if limit_per_s == self.limit_per_s:
+        if limit_per_s == self._named_per_s:
             return False
         if self.limit_per_s is None:
             self._tokens = 0.0
             self._filled_s = now_s
-        self.limit_per_s = limit_per_s
+        self._named_per_s = limit_per_s
         self._was_limited = True
         return True
 
--- a/endivespindle/serving/rate_shares.py
+++ b/endivespindle/serving/rate_shares.py
@@ -54,6 +54,8 @@
         limit_per_s: Requests per second that it accepts from all VMs; None if
             it no longer names a limit.
         age_s: Seconds since the response that said so.
+        is_cold: Whether it follows from the server's being cold, which each VM
+            learns by itself.
     """
 
     server: str
@@ -61,6 +63,7 @@
     service: str
     limit_per_s: float | None
     age_s: float
+    is_cold: bool = False
 
 
 class LimitShare(msgspec.Struct, kw_only=True, frozen=True):
--- a/endivespindle/serving/server_entry.py
+++ b/endivespindle/serving/server_entry.py
@@ -24,6 +24,7 @@
         spot: Whether the platform may reclaim it.
         leaves_in_s: Seconds until it shuts down, as it announced; None if
             unknown.
+        cold_for_s: Seconds for which it stays cold, as it announced.
     """
 
     name: str
@@ -38,6 +39,7 @@
     software: str = ""
     spot: bool = False
     leaves_in_s: float | None = None
+    cold_for_s: float = 0.0
 
     @property
     def address(self) -> str:
