Reach backend servers through other gateways while the own path is cut

Ruled out: becoming unready (open connections stay); handing the whole request over (keys, attempts and usage would be decided twice); a tunnel of bytes (sends to servers that the other gateway knows to be leaving).

Change: single attempts pass through another gateway, below all that sends. A decision apart from input and output tells a cut by failures of several servers without a response between, confirmed by another gateway that reaches one; a probe that connects ends it. A gateway lends at most what its own callers leave, over its own path only. A reply that ends early is never complete.

--- /dev/null
+++ b/endivespindle/runtime/borrowed_path.py
@@ -0,0 +1,418 @@
+"""Reaches backend servers through other gateways while this one is cut off."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import aiohttp
+import msgspec
+
+from endivespindle.backends.exchange import (
+    connection_lost_error,
+    translate_read_errors,
+    translate_send_errors,
+)
+from endivespindle.core.reasons import Reason
+from endivespindle.exceptions import BackendServerError
+from endivespindle.runtime.context import RuntimeContext
+from endivespindle.runtime.fleet_view import NodeRecord
+from endivespindle.runtime.path_messages import (
+    LEND_PATH,
+    BodyFrame,
+    EndFrame,
+    EventFrame,
+    FailureFrame,
+    Frame,
+    FrameParser,
+    HeadFrame,
+    LenderRefusedError,
+    LendRequest,
+    encode_request,
+)
+from endivespindle.runtime.settings import NodeRole
+from endivespindle.schema.generated.caller import RunState
+from endivespindle.serving.calls import (
+    OrderResponse,
+    ServerApi,
+    ServerCall,
+    ServerReport,
+    ServerResponse,
+    StreamEvent,
+    VersionOrder,
+)
+from endivespindle.serving.directory import ServerDirectory
+from endivespindle.serving.path_lenders import LenderChoice
+from endivespindle.serving.server_entry import ServerEntry
+from endivespindle.serving.server_paths import ServerPaths
+
+__all__ = [
+    "BorrowingServerApi",
+    "MonitoredServerApi",
+    "connect_to_server",
+]
+
+# Gateways that are asked for one attempt, one after the other, as long as each
+# says that the request was not run.
+_MAX_LENDERS = 2
+_CONNECT_TIMEOUT_S = 0.3
+# A reply without a byte for this long is lost; see the same bound of responses.
+_SILENCE_TIMEOUT_S = 4.0
+# Interval of the probes that find out whether the path is back, and the time
+# within which a server must accept a connection.
+_MIN_PROBE_INTERVAL_S = 0.4
+_MAX_PROBE_INTERVAL_S = 0.8
+_PROBE_TIMEOUT_S = 0.3
+
+
+class MonitoredServerApi(ServerApi):
+    """Sends requests directly and records which of them get a response.
+
+    Args:
+        api: Client for backend servers.
+        paths: Records the outcomes.
+    """
+
+    __slots__ = ("_api", "_paths")
+
+    def __init__(self, *, api: ServerApi, paths: ServerPaths):
+        self._api = api
+        self._paths = paths
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self, server: ServerEntry, call: ServerCall, *, timeout_s: float | None
+    ) -> AsyncIterator[ServerResponse]:
+        """Sends a request; see `ServerApi`."""
+        service = server.service
+        number = self._paths.begin(service, server.name)
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                response = await stack.enter_async_context(
+                    self._api.send(server, call, timeout_s=timeout_s)
+                )
+            except BackendServerError as exc:
+                self._paths.end(
+                    service,
+                    number,
+                    # Also a response to another request shows that it is there.
+                    has_responded=exc.reason is Reason.ANSWER_MISMATCH,
+                    was_refused=exc.ran is RunState.NOT_RUN,
+                )
+                raise
+            except BaseException:
+                self._paths.abandon(service, number)
+                raise
+            self._paths.end(service, number, has_responded=True)
+            yield response
+
+    async def report(
+        self, server: ServerEntry, *, timeout_s: float
+    ) -> ServerReport:
+        """Returns the state reported by a server."""
+        return await self._api.report(server, timeout_s=timeout_s)
+
+    async def order_version(
+        self, server: ServerEntry, order: VersionOrder, *, timeout_s: float
+    ) -> OrderResponse:
+        """Sends an order."""
+        return await self._api.order_version(server, order, timeout_s=timeout_s)
+
+
+class BorrowingServerApi(ServerApi):
+    """Sends requests directly, or through another gateway during a cut.
+
+    What decides about a request stays at this VM: its server, attempts,
+    deadline, retries and hedges, and what its response tells. The other gateway
+    passes on one attempt and never asks a third one.
+
+    Args:
+        ctx: State shared by the components of the node.
+        direct: Client that records its outcomes in `paths`.
+        paths: Whether servers are reached directly.
+        directory: Known backend servers.
+        session: HTTP session for calls to other nodes.
+        connect: Returns whether a server accepts a connection in a time.
+    """
+
+    __slots__ = (
+        "_connect",
+        "_ctx",
+        "_direct",
+        "_directory",
+        "_lenders",
+        "_paths",
+        "_probes",
+        "_session",
+    )
+
+    def __init__(
+        self,
+        *,
+        ctx: RuntimeContext,
+        direct: MonitoredServerApi,
+        paths: ServerPaths,
+        directory: ServerDirectory,
+        session: aiohttp.ClientSession,
+        connect: Callable[[ServerEntry, float], Awaitable[bool]],
+    ):
+        self._ctx = ctx
+        self._direct = direct
+        self._paths = paths
+        self._directory = directory
+        self._session = session
+        self._connect = connect
+        self._lenders = LenderChoice(clock=ctx.clock, rng=ctx.rng)
+        self._probes: dict[str, asyncio.Task[None]] = {}
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self, server: ServerEntry, call: ServerCall, *, timeout_s: float | None
+    ) -> AsyncIterator[ServerResponse]:
+        """Sends a request; see `ServerApi`."""
+        async with contextlib.AsyncExitStack() as stack:
+            yield await self._open(stack, server, call, timeout_s=timeout_s)
+
+    async def report(
+        self, server: ServerEntry, *, timeout_s: float
+    ) -> ServerReport:
+        """Returns the state reported by a server; never borrows a path."""
+        return await self._direct.report(server, timeout_s=timeout_s)
+
+    async def order_version(
+        self, server: ServerEntry, order: VersionOrder, *, timeout_s: float
+    ) -> OrderResponse:
+        """Sends an order; never borrows a path."""
+        return await self._direct.order_version(
+            server, order, timeout_s=timeout_s
+        )
+
+    async def close(self) -> None:
+        """Ends the probes."""
+        for task in self._probes.values():
+            task.cancel()
+        await asyncio.gather(*self._probes.values(), return_exceptions=True)
+
+    async def _open(
+        self,
+        stack: contextlib.AsyncExitStack,
+        server: ServerEntry,
+        call: ServerCall,
+        *,
+        timeout_s: float | None,
+    ) -> ServerResponse:
+        service = server.service
+        if not self._paths.should_borrow(service):
+            try:
+                return await stack.enter_async_context(
+                    self._direct.send(server, call, timeout_s=timeout_s)
+                )
+            except BackendServerError as exc:
+                if exc.ran is not RunState.NOT_RUN:
+                    raise
+                if not self._paths.may_borrow(service):
+                    raise
+        self._start_probe(service)
+        return await self._open_borrowed(
+            stack, server, call, timeout_s=timeout_s
+        )
+
+    async def _open_borrowed(
+        self,
+        stack: contextlib.AsyncExitStack,
+        server: ServerEntry,
+        call: ServerCall,
+        *,
+        timeout_s: float | None,
+    ) -> ServerResponse:
+        """Sends a request through the first gateway that reaches the server.
+
+        Raises:
+            BackendServerError: None did; the request may have run if the last
+                one that was asked does not rule it out.
+        """
+        peers = {n.name: n for n in self._ctx.fleet.peers(NodeRole.GATEWAY)}
+        error: BackendServerError = LenderRefusedError(
+            "no other gateway reaches the server"
+        )
+        for name in self._lenders.choose(peers, count=_MAX_LENDERS):
+            try:
+                response = await stack.enter_async_context(
+                    self._borrow(peers[name], server, call, timeout_s=timeout_s)
+                )
+            except LenderRefusedError as exc:
+                error = exc
+                self._lenders.record(name, has_reached=False)
+                self._record(server, call, name, "refused")
+                continue
+            except BackendServerError as exc:
+                error = exc
+                if exc.ran is not RunState.NOT_RUN:
+                    self._lenders.record(name, has_reached=False)
+                self._record(server, call, name, exc.reason.code)
+                break
+            self._lenders.record(name, has_reached=True)
+            self._paths.record_borrowed(server.service, has_reached=True)
+            self._record(server, call, name, "responded")
+            return response
+        self._paths.record_borrowed(server.service, has_reached=False)
+        raise error
+
+    def _record(
+        self, server: ServerEntry, call: ServerCall, lender: str, outcome: str
+    ) -> None:
+        self._ctx.metrics.count_borrowed_path(outcome)
+        self._ctx.log.event(
+            "path_borrowed",
+            request_id=call.request_id,
+            server=server.name,
+            service=server.service,
+            lender=lender,
+            outcome=outcome,
+        )
+
+    @contextlib.asynccontextmanager
+    async def _borrow(
+        self,
+        lender: NodeRecord,
+        server: ServerEntry,
+        call: ServerCall,
+        *,
+        timeout_s: float | None,
+    ) -> AsyncIterator[ServerResponse]:
+        req = LendRequest(
+            sender=self._ctx.settings.name,
+            server=server.name,
+            started_ms=server.started_ms,
+            call=call,
+            timeout_s=timeout_s,
+        )
+        try:
+            with translate_send_errors():
+                resp = await self._session.post(
+                    f"http://{lender.endpoint}{LEND_PATH}",
+                    data=encode_request(req),
+                    timeout=aiohttp.ClientTimeout(
+                        total=timeout_s,
+                        sock_connect=_CONNECT_TIMEOUT_S,
+                        sock_read=_SILENCE_TIMEOUT_S,
+                    ),
+                )
+        except BackendServerError as exc:
+            if exc.ran is RunState.NOT_RUN:
+                raise LenderRefusedError(f"{lender.name}: {exc}") from exc
+            raise
+        try:
+            yield await _BorrowedResponse.open(resp)
+        finally:
+            # The other gateway cancels the attempt when its reply is not read.
+            if resp.content.at_eof():
+                resp.release()
+            else:
+                resp.close()
+
+    def _start_probe(self, service: str) -> None:
+        task = self._probes.get(service)
+        if task is None or task.done():
+            self._probes[service] = asyncio.create_task(self._probe(service))
+
+    async def _probe(self, service: str) -> None:
+        """Connects to servers until one accepts while the path is cut.
+
+        Each VM returns to its own path by itself, at a moment of its own.
+        """
+        rng = self._ctx.rng
+        while self._paths.should_borrow(service):
+            await asyncio.sleep(
+                rng.uniform(_MIN_PROBE_INTERVAL_S, _MAX_PROBE_INTERVAL_S)
+            )
+            views = self._directory.available_servers(service)
+            if views and await self._connect(
+                rng.choice(views).entry, _PROBE_TIMEOUT_S
+            ):
+                self._paths.record_reached(service)
+
+
+class _BorrowedResponse(ServerResponse):
+    """A response that another gateway passes on."""
+
+    __slots__ = ("_frames", "head")
+
+    def __init__(self, *, head: HeadFrame, frames: AsyncIterator[Frame]):
+        self.head = head.head
+        self._frames = frames
+
+    @classmethod
+    async def open(cls, resp: aiohttp.ClientResponse) -> "_BorrowedResponse":
+        """Reads the first frame.
+
+        Raises:
+            BackendServerError: The server did not respond.
+        """
+        if resp.status != 200:
+            raise LenderRefusedError(f"status {resp.status}")
+        frames = _read_frames(resp)
+        first = await anext(frames, None)
+        if not isinstance(first, HeadFrame):
+            raise connection_lost_error("the other gateway's reply broke off")
+        return cls(head=first, frames=frames)
+
+    async def read(self) -> bytes:
+        """Returns the complete body."""
+        parts = []
+        async for frame in self._content():
+            if isinstance(frame, BodyFrame):
+                parts.append(frame.data)
+            elif isinstance(frame, EventFrame):
+                parts.append(frame.event.raw)
+        return b"".join(parts)
+
+    async def events(self) -> AsyncIterator[StreamEvent]:
+        """Yields the events of a stream as they arrive."""
+        async for frame in self._content():
+            if isinstance(frame, EventFrame):
+                yield frame.event
+
+    async def _content(self) -> AsyncIterator[Frame]:
+        """Yields the frames up to the one that marks the end."""
+        async for frame in self._frames:
+            if isinstance(frame, EndFrame):
+                # The end of the reply, so that its connection is kept.
+                await anext(self._frames, None)
+                return
+            yield frame
+        raise connection_lost_error("the other gateway's reply broke off")
+
+
+async def _read_frames(resp: aiohttp.ClientResponse) -> AsyncIterator[Frame]:
+    """Yields frames.
+
+    Raises:
+        BackendServerError: The reply broke off, or the server failed.
+    """
+    parser = FrameParser()
+    chunks = resp.content.iter_any()
+    while True:
+        with translate_read_errors():
+            data = await anext(chunks, None)
+        if data is None:
+            return
+        try:
+            frames = list(parser.feed(data))
+        except msgspec.MsgspecError as exc:
+            raise connection_lost_error(f"malformed frame: {exc}") from exc
+        for frame in frames:
+            if isinstance(frame, FailureFrame):
+                raise frame.error()
+            yield frame
+
+
+async def connect_to_server(server: ServerEntry, timeout_s: float) -> bool:
+    """Returns whether a server accepts a connection within a time."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, writer = await asyncio.open_connection(server.host, server.port)
+    except (OSError, TimeoutError):
+        # Refused or silent: what the probe is to find out.
+        return False
+    writer.close()
+    return True
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -6,6 +6,11 @@
 
 from endivespindle.peers.tasks import end_tasks
 from endivespindle.platform.servers import PlatformServerApi
+from endivespindle.runtime.borrowed_path import (
+    BorrowingServerApi,
+    MonitoredServerApi,
+    connect_to_server,
+)
 from endivespindle.runtime.context import RuntimeContext
 from endivespindle.runtime.controller_reports import ControllerReports
 from endivespindle.runtime.forwarding import Forwarder
@@ -13,7 +18,9 @@
 from endivespindle.runtime.job_runner import JobRunner
 from endivespindle.runtime.job_service import JobService
 from endivespindle.runtime.job_store import JobStore
+from endivespindle.runtime.lent_path import PathLender
 from endivespindle.runtime.origin_exchange import SharedOrigins
+from endivespindle.runtime.path_messages import LEND_PATH
 from endivespindle.runtime.peer_client import (
     EvidenceUpdate,
     PeerClient,
@@ -41,6 +48,7 @@
 from endivespindle.serving.directory import ServerDirectory, ServerView
 from endivespindle.serving.evidence_exchange import EvidenceMessage
 from endivespindle.serving.relay_selection import RelaySelector
+from endivespindle.serving.server_paths import PathState, ServerPaths
 from endivespindle.serving.stream_origins import StreamOrigins
 from endivespindle.store.object_store import ObjectStore
 
@@ -96,6 +104,7 @@
     """
 
     __slots__ = (
+        "_api",
         "_config",
         "_ctx",
         "_directory",
@@ -160,8 +169,26 @@
             open_backend_session(),
             open_single_use_backend_session(),
         ]
-        api = PlatformServerApi(
-            session=self._sessions[0], single_use=self._sessions[1]
+        paths = ServerPaths(
+            clock=clock,
+            count_servers=lambda service: len(
+                self._directory.available_servers(service)
+            ),
+            on_change=self._apply_path_change,
+        )
+        direct = MonitoredServerApi(
+            api=PlatformServerApi(
+                session=self._sessions[0], single_use=self._sessions[1]
+            ),
+            paths=paths,
+        )
+        api = self._api = BorrowingServerApi(
+            ctx=parts,
+            direct=direct,
+            paths=paths,
+            directory=self._directory,
+            session=peers.session,
+            connect=connect_to_server,
         )
         forwarder = Forwarder(
             api=api,
@@ -240,6 +267,15 @@
             log=parts.log,
             metrics=parts.metrics,
         )
+        lender = PathLender(
+            ctx=parts,
+            api=direct,
+            paths=paths,
+            directory=self._directory,
+            config=self._config,
+            count_own=lambda: self._ingress.active_requests,
+        )
+        peer_server.serve_stream(LEND_PATH, lender.handle)
         peer_server.serve_jobs(
             answer=self._jobs.answer_as_owner,
             on_owner_update=self._jobs.apply_owner_update,
@@ -381,6 +417,7 @@
         await self._web_runner.cleanup()
         await self._ready_runner.cleanup()
         await end_tasks(self._tasks)
+        await self._api.close()
         for session in self._sessions:
             await session.close()
 
@@ -398,6 +435,14 @@
         )
         return web.Response(status=200 if is_ready else 503)
 
+    def _apply_path_change(self, service: str, state: PathState) -> None:
+        # The failures so far were those of the path, not of the servers.
+        self._directory.clear_pauses(service)
+        self._ctx.log.state_change(
+            "server_path", service=service, state=state.value
+        )
+        self._runner.wake()
+
     def _record_response(self, view: ServerView, sent_s: float) -> None:
         self._ctx.evidence.record_response(
             view.entry.name, view.entry.started_ms, sent_s=sent_s
--- a/endivespindle/runtime/peer_client.py
+++ b/endivespindle/runtime/peer_client.py
@@ -197,12 +197,16 @@
 
     Args:
         session: HTTP session with pooled connections.
+
+    Attributes:
+        session: The same session, for calls whose replies are read as they
+            arrive.
     """
 
-    __slots__ = ("_session",)
+    __slots__ = ("session",)
 
     def __init__(self, *, session: aiohttp.ClientSession):
-        self._session = session
+        self.session = session
 
     async def ask(self, node: NodeRecord, request: JobRequest) -> JobReply:
         """Sends a request to the owner of a job and returns its reply.
@@ -268,7 +272,7 @@
         if not math.isfinite(timeout_s):
             raise ValueError("a call between nodes needs a finite timeout")
         try:
-            async with self._session.post(
+            async with self.session.post(
                 f"http://{node.endpoint}{path}",
                 data=msgspec.msgpack.encode(message),
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
--- a/endivespindle/runtime/peer_server.py
+++ b/endivespindle/runtime/peer_server.py
@@ -42,7 +42,14 @@
         metrics: Metrics to expose.
     """
 
-    __slots__ = ("_handlers", "_host", "_metrics", "_port", "_runner")
+    __slots__ = (
+        "_handlers",
+        "_host",
+        "_metrics",
+        "_port",
+        "_runner",
+        "_stream_handlers",
+    )
 
     def __init__(self, *, host: str, port: int, metrics: NodeMetrics):
         self._host = host
@@ -51,6 +58,10 @@
         self._handlers: dict[
             str, Callable[[bytes], Awaitable[bytes | None]]
         ] = {}
+        self._stream_handlers: dict[
+            str,
+            Callable[[web.BaseRequest, bytes], Awaitable[web.StreamResponse]],
+        ] = {}
         self._runner: web.ServerRunner | None = None
 
     def serve_jobs(
@@ -172,6 +183,21 @@
 
         self._handlers["/store"] = handle_operation
 
+    def serve_stream(
+        self,
+        path: str,
+        handler: Callable[
+            [web.BaseRequest, bytes], Awaitable[web.StreamResponse]
+        ],
+    ) -> None:
+        """Registers a handler that writes its response by itself.
+
+        Args:
+            path: Path of the calls.
+            handler: Receives the request and its body.
+        """
+        self._stream_handlers[path] = handler
+
     async def start(self, *, metrics_port: int) -> None:
         """Starts listening."""
         server = web.Server(self._handle, access_log=None)
@@ -186,14 +212,17 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    async def _handle(self, request: web.BaseRequest) -> web.Response:
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == "/metrics":
             return web.Response(body=self._metrics.render())
+        stream_handler = self._stream_handlers.get(request.path)
         handler = self._handlers.get(request.path)
-        if handler is None:
-            return web.Response(status=404)
         body = await _read_body(request)
         try:
+            if stream_handler is not None:
+                return await stream_handler(request, body)
+            if handler is None:
+                return web.Response(status=404)
             response = await handler(body)
         except msgspec.MsgspecError as exc:
             self._metrics.count_peer_refusal("malformed")
--- a/endivespindle/runtime/telemetry.py
+++ b/endivespindle/runtime/telemetry.py
@@ -161,8 +161,10 @@
     """Counters of a node, and a histogram of request latencies."""
 
     __slots__ = (
+        "_borrowed_paths",
         "_cold_servers",
         "_latency",
+        "_lent_paths",
         "_quarantines",
         "_server_limits",
     )
@@ -180,6 +182,14 @@
             "Requests under which too many backend servers crashed.",
         )
         self._quarantines.set({}, 0)
+        self._borrowed_paths = self._make_counter(
+            "borrowed_paths_total",
+            "Attempts sent through other gateways, by outcome.",
+        )
+        self._lent_paths = self._make_counter(
+            "lent_paths_total",
+            "Attempts passed on for other gateways, by outcome.",
+        )
         self._cold_servers = self._make_counter(
             "cold_servers_total",
             "Backend servers that became cold.",
@@ -193,6 +203,14 @@
         """Counts a request that is kept from backend servers from now on."""
         self._quarantines.inc({})
 
+    def count_borrowed_path(self, outcome: str) -> None:
+        """Counts an attempt that was sent through another gateway."""
+        self._borrowed_paths.inc({"outcome": outcome})
+
+    def count_lent_path(self, outcome: str) -> None:
+        """Counts an attempt that was passed on for another gateway."""
+        self._lent_paths.inc({"outcome": outcome})
+
     def count_cold_server(self, service: str) -> None:
         """Counts a server that became cold."""
         self._cold_servers.inc({"service": service})
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -226,6 +226,12 @@
         until_s = self._clock.monotonic() + seconds
         self._paused_until_s = max(self._paused_until_s, until_s)
 
+    def clear_pause(self) -> None:
+        """Ends the pause after failures, and forgets these."""
+        self._paused_until_s = -math.inf
+        self._consecutive_failures = 0
+        self.failure_rate = 0.0
+
     def is_warm(self) -> bool:
         """Returns whether a connection to it is likely to be open."""
         return self._connections.is_warm()
@@ -416,6 +422,14 @@
             seen_s[view.entry.software] = self._clock.monotonic()
             self._by_service[view.entry.service].pop(name, None)
 
+    def clear_pauses(self, service: str) -> None:
+        """Uses servers again that are paused after failures.
+
+        Called when the failures turn out to be those of the path.
+        """
+        for view in self._by_service.get(service, {}).values():
+            view.clear_pause()
+
     def evacuated_data_centres(self) -> frozenset[str]:
         """Returns the data centres to whose servers nothing is sent."""
         return self._evacuated
--- /dev/null
+++ b/endivespindle/serving/server_paths.py
@@ -0,0 +1,268 @@
+"""Whether this VM reaches the backend servers of a service by itself."""
+
+import enum
+import itertools
+import math
+from collections.abc import Callable
+
+from endivespindle.core.clock import Clock
+
+__all__ = ["PathEvent", "PathState", "ServerPaths", "next_path_state"]
+
+# Servers without a response after which the path counts as cut, unless the
+# service has fewer: that many seldom die between two responses.
+_MIN_SERVERS = 3
+# Time for which a failed attempt counts.
+_EVIDENCE_S = 3.0
+# Time without a response head after which a running attempt counts: longer than
+# a load of weights takes while few servers load.
+_SILENT_S = 1.0
+# Failed attempts through other VMs after which the servers themselves count as
+# unreachable, and the time for which this is believed.
+_MAX_UNREACHED = 2
+_SERVERS_DOWN_S = 1.0
+# Servers that refused a connection lately before a single attempt is borrowed,
+# while open connections still work.
+_MIN_REFUSALS = 2
+_REFUSAL_S = 2.0
+
+
+class PathState(enum.StrEnum):
+    """How requests of a service reach its servers.
+
+    Attributes:
+        DIRECT: Over connections of this VM.
+        SUSPECTED: Through other VMs, until one of them reaches a server.
+        CUT: Through other VMs, which reach the servers.
+    """
+
+    DIRECT = "direct"
+    SUSPECTED = "suspected"
+    CUT = "cut"
+
+
+class PathEvent(enum.StrEnum):
+    """What is learned about the path to the servers of a service."""
+
+    SERVERS_SILENT = "servers_silent"
+    PEER_REACHES = "peer_reaches"
+    PEERS_FAIL = "peers_fail"
+    REACHED = "reached"
+
+
+_NEXT = {
+    PathState.DIRECT: {PathEvent.SERVERS_SILENT: PathState.SUSPECTED},
+    PathState.SUSPECTED: {
+        PathEvent.PEER_REACHES: PathState.CUT,
+        PathEvent.PEERS_FAIL: PathState.DIRECT,
+        PathEvent.REACHED: PathState.DIRECT,
+    },
+    PathState.CUT: {
+        PathEvent.PEERS_FAIL: PathState.DIRECT,
+        PathEvent.REACHED: PathState.DIRECT,
+    },
+}
+
+
+def next_path_state(state: PathState, event: PathEvent) -> PathState:
+    """Returns the state after an event; others leave it as it is."""
+    return _NEXT[state].get(event, state)
+
+
+class _ServicePath:
+    """Evidence about the servers of one service.
+
+    Attributes:
+        state: How requests are sent.
+        failures: Monotonic time of the last failed attempt, by server.
+        refusals: Monotonic time of the last refused connection, by server.
+        pending: Server and start of each running attempt, by number.
+        response_s: Monotonic time of the last response.
+        unreached: Attempts through other VMs that failed since one succeeded.
+        down_until_s: Monotonic time until which the servers count as down.
+    """
+
+    __slots__ = (
+        "down_until_s",
+        "failures",
+        "pending",
+        "refusals",
+        "response_s",
+        "state",
+        "unreached",
+    )
+
+    def __init__(self) -> None:
+        self.state = PathState.DIRECT
+        self.failures: dict[str, float] = {}
+        self.refusals: dict[str, float] = {}
+        self.pending: dict[int, tuple[str, float]] = {}
+        self.response_s = -math.inf
+        self.unreached = 0
+        self.down_until_s = -math.inf
+
+
+class ServerPaths:
+    """Tells a cut of this VM's path from servers that are down.
+
+    Load pattern: some VMs, or all of a data centre, lose the path to all
+    servers for seconds while callers, the store and other VMs still reach them.
+    Connections hang, are reset, or live on while new ones are refused. A VM
+    that goes on by itself fails its callers; one that believes in a cut after
+    each crash of a server loads the others.
+
+    Args:
+        clock: Clock of this VM.
+        count_servers: Returns the number of servers of a service that accept
+            requests.
+        on_change: Called with the service and its state when that changes.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_count_servers",
+        "_numbers",
+        "_on_change",
+        "_paths",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        count_servers: Callable[[str], int],
+        on_change: Callable[[str, PathState], None],
+    ):
+        self._clock = clock
+        self._count_servers = count_servers
+        self._on_change = on_change
+        self._numbers = itertools.count()
+        self._paths: dict[str, _ServicePath] = {}
+
+    def begin(self, service: str, server: str) -> int:
+        """Records that an attempt is sent; returns its number."""
+        number = next(self._numbers)
+        now_s = self._clock.monotonic()
+        self._path(service).pending[number] = (server, now_s)
+        return number
+
+    def end(
+        self,
+        service: str,
+        number: int,
+        *,
+        has_responded: bool,
+        was_refused: bool = False,
+    ) -> None:
+        """Records how an attempt went until its response head.
+
+        Args:
+            service: Service of the server.
+            number: Number of the attempt.
+            has_responded: Whether a response head arrived.
+            was_refused: Whether no connection was established.
+        """
+        path = self._path(service)
+        server, _ = path.pending.pop(number)
+        now_s = self._clock.monotonic()
+        if has_responded:
+            path.response_s = now_s
+            path.failures.clear()
+            return
+        path.failures[server] = now_s
+        if was_refused:
+            path.refusals[server] = now_s
+
+    def abandon(self, service: str, number: int) -> None:
+        """Records that an attempt was cancelled before its response head.
+
+        It counts only if it had been silent for long.
+        """
+        path = self._path(service)
+        server, start_s = path.pending.pop(number)
+        if self._is_silent(path, start_s):
+            path.failures[server] = self._clock.monotonic()
+
+    def should_borrow(self, service: str) -> bool:
+        """Returns whether requests are sent through other VMs."""
+        path = self._path(service)
+        if (
+            path.state is PathState.DIRECT
+            and (path.failures or path.pending)
+            and self._clock.monotonic() >= path.down_until_s
+            and len(self._silent(path)) >= self._needed(service)
+        ):
+            self._apply(service, PathEvent.SERVERS_SILENT)
+        return path.state is not PathState.DIRECT
+
+    def may_borrow(self, service: str) -> bool:
+        """Returns whether an attempt without a connection may be borrowed.
+
+        Open connections may live on while new ones are refused.
+        """
+        path = self._path(service)
+        now_s = self._clock.monotonic()
+        recent = [
+            at_s
+            for at_s in path.refusals.values()
+            if now_s - at_s <= _REFUSAL_S
+        ]
+        return now_s >= path.down_until_s and len(recent) >= min(
+            _MIN_REFUSALS, max(1, self._count_servers(service))
+        )
+
+    def record_borrowed(self, service: str, *, has_reached: bool) -> None:
+        """Records whether another VM reached a server."""
+        path = self._path(service)
+        if has_reached:
+            path.unreached = 0
+            self._apply(service, PathEvent.PEER_REACHES)
+            return
+        path.unreached += 1
+        if path.unreached >= _MAX_UNREACHED:
+            path.down_until_s = self._clock.monotonic() + _SERVERS_DOWN_S
+            self._apply(service, PathEvent.PEERS_FAIL)
+
+    def record_reached(self, service: str) -> None:
+        """Records that a probe connected to a server."""
+        self._apply(service, PathEvent.REACHED)
+
+    def _apply(self, service: str, event: PathEvent) -> None:
+        path = self._path(service)
+        before = path.state
+        path.state = next_path_state(before, event)
+        if path.state is before:
+            return
+        if path.state is not PathState.CUT:
+            path.unreached = 0
+        if path.state is PathState.DIRECT:
+            path.failures.clear()
+            path.refusals.clear()
+            path.response_s = self._clock.monotonic()
+        self._on_change(service, path.state)
+
+    def _needed(self, service: str) -> int:
+        return min(_MIN_SERVERS, max(1, self._count_servers(service)))
+
+    def _silent(self, path: _ServicePath) -> set[str]:
+        """Returns the servers that failed or are silent since a response."""
+        oldest_s = self._clock.monotonic() - _EVIDENCE_S
+        silent = {
+            server for server, at_s in path.failures.items() if at_s >= oldest_s
+        }
+        silent.update(
+            server
+            for server, start_s in path.pending.values()
+            if self._is_silent(path, start_s)
+        )
+        return silent
+
+    def _is_silent(self, path: _ServicePath, start_s: float) -> bool:
+        since_s = max(start_s, path.response_s)
+        return self._clock.monotonic() - since_s >= _SILENT_S
+
+    def _path(self, service: str) -> _ServicePath:
+        path = self._paths.get(service)
+        if path is None:
+            path = self._paths[service] = _ServicePath()
+        return path
--- /dev/null
+++ b/endivespindle/serving/tests/test_server_paths.py
@@ -0,0 +1,169 @@
+"""A cut of this VM's path, told from servers that are down."""
+
+import random
+
+from endivespindle.core.clock import ManualClock
+from endivespindle.serving.path_lenders import LenderChoice, may_lend
+from endivespindle.serving.server_paths import PathState, ServerPaths
+
+SERVICE = "plain"
+
+
+class _World:
+    def __init__(self, *, servers=6):
+        self.clock = ManualClock()
+        self.changes = []
+        self.paths = ServerPaths(
+            clock=self.clock,
+            count_servers=lambda service: servers,
+            on_change=lambda service, state: self.changes.append(state),
+        )
+
+    def attempt(self, server, **outcome):
+        number = self.paths.begin(SERVICE, server)
+        self.paths.end(SERVICE, number, **outcome)
+
+    def fail(self, *servers, was_refused=True):
+        for server in servers:
+            self.attempt(server, has_responded=False, was_refused=was_refused)
+
+    def is_borrowing(self):
+        return self.paths.should_borrow(SERVICE)
+
+
+def test_failures_of_all_servers_between_two_responses_are_a_cut():
+    world = _World()
+    world.fail("s1", "s2")
+    assert not world.is_borrowing()
+    world.fail("s3", was_refused=False)
+    assert world.is_borrowing()
+    world.paths.record_borrowed(SERVICE, has_reached=True)
+    assert world.changes == [PathState.SUSPECTED, PathState.CUT]
+
+
+def test_a_service_with_fewer_servers_needs_fewer_failures():
+    world = _World(servers=2)
+    world.fail("s1")
+    assert not world.is_borrowing()
+    world.fail("s2")
+    assert world.is_borrowing()
+
+
+def test_crashes_of_some_servers_are_no_cut():
+    """Pattern: servers crash while others respond all the time."""
+    world = _World()
+    for _ in range(20):
+        world.fail("s1", "s2")
+        world.attempt("s4", has_responded=True)
+        world.fail("s3")
+        assert not world.is_borrowing()
+        world.clock.advance(0.1)
+
+
+def test_failures_long_ago_are_no_cut():
+    world = _World()
+    for server in ("s1", "s2", "s3"):
+        world.fail(server)
+        world.clock.advance(2.0)
+    assert not world.is_borrowing()
+
+
+def test_attempts_that_hang_are_seen_before_they_end():
+    """Pattern: packets are dropped, and nothing tells so."""
+    world = _World()
+    for server in ("s1", "s2", "s3"):
+        world.paths.begin(SERVICE, server)
+    assert not world.is_borrowing()
+    world.clock.advance(1.01)
+    assert world.is_borrowing()
+
+
+def test_slow_attempts_beside_responses_are_no_cut():
+    """Pattern: long queues; each response shows that the path is there."""
+    world = _World()
+    for server in ("s1", "s2", "s3"):
+        world.paths.begin(SERVICE, server)
+    for _ in range(10):
+        world.clock.advance(0.5)
+        world.attempt("s4", has_responded=True)
+        assert not world.is_borrowing()
+
+
+def test_servers_that_nobody_reaches_are_down():
+    world = _World()
+    world.fail("s1", "s2", "s3")
+    assert world.is_borrowing()
+    for _ in range(2):
+        world.paths.record_borrowed(SERVICE, has_reached=False)
+    assert not world.is_borrowing()
+    # Their failures are no new evidence for a while.
+    world.fail("s1", "s2", "s3")
+    assert not world.is_borrowing()
+    assert not world.paths.may_borrow(SERVICE)
+    world.clock.advance(1.5)
+    world.fail("s1", "s2", "s3")
+    assert world.is_borrowing()
+
+
+def test_a_dead_server_during_a_cut_does_not_end_it():
+    world = _World()
+    world.fail("s1", "s2", "s3")
+    assert world.is_borrowing()
+    for _ in range(10):
+        world.paths.record_borrowed(SERVICE, has_reached=True)
+        world.paths.record_borrowed(SERVICE, has_reached=False)
+        assert world.is_borrowing()
+
+
+def test_new_connections_are_borrowed_while_open_ones_live_on():
+    world = _World()
+    for _ in range(5):
+        world.attempt("s4", has_responded=True)
+        world.fail("s1")
+        world.attempt("s5", has_responded=True)
+    assert not world.paths.may_borrow(SERVICE)
+    world.fail("s2")
+    world.attempt("s4", has_responded=True)
+    assert not world.is_borrowing()
+    assert world.paths.may_borrow(SERVICE)
+
+
+def test_the_path_is_used_again_when_a_probe_connects():
+    world = _World()
+    world.fail("s1", "s2", "s3")
+    assert world.is_borrowing()
+    world.paths.record_borrowed(SERVICE, has_reached=True)
+    world.paths.record_reached(SERVICE)
+    assert not world.is_borrowing()
+    world.fail("s1", "s2")
+    assert not world.is_borrowing()
+
+
+def test_cut_vms_spread_over_the_others_and_do_not_ask_each_other_for_long():
+    """Pattern: all VMs of a data centre lose the path at once."""
+    clock = ManualClock()
+    cut = [f"a{number}" for number in range(16)]
+    others = [f"b{number}" for number in range(36)]
+    asked = {}
+    for number, vm in enumerate(cut):
+        choice = LenderChoice(clock=clock, rng=random.Random(number))
+        refused = 0
+        for _ in range(60):
+            peers = [name for name in (*cut, *others) if name != vm]
+            for name in choice.choose(peers, count=2):
+                has_reached = name in others
+                choice.record(name, has_reached=has_reached)
+                if has_reached:
+                    asked[name] = asked.get(name, 0) + 1
+                    break
+                refused += 1
+        assert refused <= len(cut)
+    assert len(asked) >= 20
+    assert max(asked.values()) <= 6 * 60 * len(cut) / len(others)
+
+
+def test_a_vm_lends_no_more_than_its_own_callers_leave():
+    assert may_lend(lent=0, own=0)
+    assert not may_lend(lent=8, own=0)
+    assert may_lend(lent=8, own=20)
+    assert not may_lend(lent=20, own=20)
