Use the pace that servers report, so that work avoids slow moments

Cause: the fourth figure of a server's load was dropped, and a moment in which other work slowed its VM made the server look slow for many exchanges.

--- a/endivespindle/platform/headers.py
+++ b/endivespindle/platform/headers.py
@@ -134,11 +134,17 @@
 
 
 def _parse_load(text: str | None) -> ServerLoad | None:
-    """Parses `running,waiting,slots`; None if missing or malformed."""
+    """Parses `running,waiting,slots,percent`; None if malformed.
+
+    The last figure is how long work takes there, where servers share VMs.
+    """
     parts = [part.strip() for part in (text or "").split(",")]
     if len(parts) < 2 or not all(part.isdecimal() for part in parts):
         return None
-    return ServerLoad(running=int(parts[0]), waiting=int(parts[1]))
+    pace = int(parts[3]) / 100 if len(parts) > 3 else None
+    return ServerLoad(
+        running=int(parts[0]), waiting=int(parts[1]), pace=pace or None
+    )
 
 
 def _parse_limit(text: str | None) -> float | None:
--- a/endivespindle/runtime/attempts.py
+++ b/endivespindle/runtime/attempts.py
@@ -83,6 +83,7 @@
                 view.record_load(
                     running=response.head.load.running,
                     waiting=response.head.load.waiting,
+                    pace=response.head.load.pace,
                 )
             failed = response.head.status == _STATUS_SERVER_ERROR
             yield response
--- a/endivespindle/serving/calls.py
+++ b/endivespindle/serving/calls.py
@@ -62,10 +62,13 @@
     Attributes:
         running: Requests that run at the server.
         waiting: Requests in its queue.
+        pace: How long work takes there now, as a multiple of the usual time;
+            None if it does not say.
     """
 
     running: int
     waiting: int
+    pace: float | None = None
 
 
 class ResponseHead(msgspec.Struct, kw_only=True, frozen=True):
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -34,6 +34,9 @@
 # Half-life of the other VMs' part of a reported load: reports come with
 # responses, and a response occupies a slot for about this long.
 _LOAD_HALF_LIFE_S = 1.0
+# Half-life of a reported pace: other work on the server's VM comes and goes
+# within a second.
+_PACE_HALF_LIFE_S = 0.5
 
 
 class ServerView:
@@ -62,8 +65,8 @@
         versions: Weight version by model, by the newest update from any
             source.
         failure_rate: Moving average of the fraction of failed exchanges.
-        duration_s: Moving average of the seconds an exchange takes; 0 if
-            unknown.
+        duration_s: Moving average of the seconds an exchange takes at the
+            server's usual pace; 0 if unknown.
         event_interval_s: Moving average of the seconds between two events of a
             completion; 0 if unknown.
     """
@@ -77,6 +80,8 @@
         "_on_leaving",
         "_on_limit",
         "_on_response",
+        "_pace",
+        "_pace_seen_s",
         "_other_load",
         "_other_load_seen_s",
         "_paused_until_s",
@@ -117,6 +122,8 @@
         self.is_evacuated = False
         self._connections = ConnectionEstimate(clock=clock)
         self._consecutive_failures = 0
+        self._pace = 1.0
+        self._pace_seen_s = -math.inf
         self._other_load = 0.0
         self._other_load_seen_s = -math.inf
         self._paused_until_s = -math.inf
@@ -205,6 +212,7 @@
         self.in_flight -= 1
         self.failure_rate += _SMOOTHING * (failed - self.failure_rate)
         if duration_s is not None:
+            duration_s /= self.pace()
             known = self.duration_s or duration_s
             self.duration_s = known + _SMOOTHING * (duration_s - known)
         if failed:
@@ -273,8 +281,22 @@
         self.versions[model] = max(version, self.versions.get(model, 0))
         self.models.pause(model, ready_s)
 
-    def record_load(self, *, running: int, waiting: int) -> None:
+    def pace(self) -> float:
+        """Returns how long work takes there, as a multiple of the usual time.
+
+        Load pattern: servers share their VMs with other work, which slows some
+        of them for moments. A report counts for less as it ages.
+        """
+        age_s = self._clock.monotonic() - self._pace_seen_s
+        return 1.0 + (self._pace - 1.0) * 0.5 ** (age_s / _PACE_HALF_LIFE_S)
+
+    def record_load(
+        self, *, running: int, waiting: int, pace: float | None = None
+    ) -> None:
         """Records the load reported by a response."""
+        if pace is not None:
+            self._pace = pace
+            self._pace_seen_s = self._clock.monotonic()
         self._other_load = max(0.0, running + waiting - self.in_flight)
         self._other_load_seen_s = self._clock.monotonic()
 
--- a/endivespindle/serving/placement.py
+++ b/endivespindle/serving/placement.py
@@ -34,7 +34,7 @@
     few requests but is tried again.
     """
     slots = max(1, view.entry.slots)
-    duration_s = view.duration_s or _DEFAULT_DURATION_S
+    duration_s = (view.duration_s or _DEFAULT_DURATION_S) * view.pace()
     waiting = max(0.0, view.load() + 1 - slots)
     busy = view.load() / slots
     delay_s = duration_s * (1 + busy + waiting / slots)
