Borrow a path for single attempts only when connections are refused fast

Cause: in a cut between data centres, connections to the other ones hang. Each attempt that ended so asked two other gateways as well, which hang too, and its request reached a server of its own data centre 0.6 s later.

Change: only connections that are refused within 50 ms count for this; those that hang count for a cut of the whole path as before.

--- a/endivespindle/serving/server_paths.py
+++ b/endivespindle/serving/server_paths.py
@@ -25,6 +25,10 @@
 # while open connections still work.
 _MIN_REFUSALS = 2
 _REFUSAL_S = 2.0
+# Time within which a connection is refused. One that hangs instead has taken the
+# time in which another VM could have helped, and in a cut between data centres
+# the VMs that could be asked hang as well.
+_MAX_REFUSAL_DELAY_S = 0.05
 
 
 class PathState(enum.StrEnum):
@@ -163,14 +167,14 @@
             was_refused: Whether no connection was established.
         """
         path = self._path(service)
-        server, _ = path.pending.pop(number)
+        server, start_s = path.pending.pop(number)
         now_s = self._clock.monotonic()
         if has_responded:
             path.response_s = now_s
             path.failures.clear()
             return
         path.failures[server] = now_s
-        if was_refused:
+        if was_refused and now_s - start_s <= _MAX_REFUSAL_DELAY_S:
             path.refusals[server] = now_s
 
     def abandon(self, service: str, number: int) -> None:
--- a/endivespindle/serving/tests/test_server_paths.py
+++ b/endivespindle/serving/tests/test_server_paths.py
@@ -128,6 +128,18 @@
     assert world.paths.may_borrow(SERVICE)
 
 
+def test_connections_that_hang_are_not_borrowed_one_by_one():
+    """Pattern: a data centre is cut off, and its own servers respond."""
+    world = _World()
+    for server in ("s1", "s2", "s3") * 3:
+        number = world.paths.begin(SERVICE, server)
+        world.clock.advance(0.3)
+        world.paths.end(SERVICE, number, has_responded=False, was_refused=True)
+        world.attempt("s4", has_responded=True)
+        assert not world.is_borrowing()
+        assert not world.paths.may_borrow(SERVICE)
+
+
 def test_the_path_is_used_again_when_a_probe_connects():
     world = _World()
     world.fail("s1", "s2", "s3")
