Place long prompts apart from short ones, if settings name the reading speed

Change: a prompt costs what it waits and what it slows, in seconds; unread prompts of this VM count at a server until their first event. Off unless ENDIVESPINDLE_PROMPT_TOKENS_PER_S is set.

--- a/endivespindle/batch/schedule.py
+++ b/endivespindle/batch/schedule.py
@@ -12,11 +12,13 @@
 from endivespindle.batch.job import ItemState, JobState
 from endivespindle.batch.submission import expected_output_tokens
 from endivespindle.serving.directory import ServerView
+from endivespindle.serving.prompt_queue import prompt_cost_s
 
 __all__ = [
     "MAX_START_DELAY_S",
     "Placement",
     "item_remaining_events",
+    "item_unread_tokens",
     "order_items",
     "place_items",
 ]
@@ -96,6 +98,7 @@
     data_centre: str,
     now_s: float,
     rng: random.Random,
+    prompt_tokens_per_s: float | None = None,
 ) -> list[Placement]:
     """Returns the items to send now, each with its server.
 
@@ -111,9 +114,12 @@
         data_centre: Data centre of this VM.
         now_s: Monotonic time.
         rng: Source of the random cost.
+        prompt_tokens_per_s: Prompt tokens that a server reads in a second; None
+            if the length of prompts does not count.
     """
     placed: list[Placement] = []
     assigned: dict[str, int] = {}
+    assigned_tokens: dict[str, int] = {}
     prefix_servers: dict[tuple[str, str], str] = {}
     for job in sorted(jobs, key=_due_ms):
         views = servers.get(job.submission.service, ())
@@ -141,7 +147,9 @@
             view = _fastest_server(
                 candidates,
                 assigned,
+                assigned_tokens,
                 state=state,
+                prompt_tokens_per_s=prompt_tokens_per_s,
                 events=item_remaining_events(job, state),
                 baseline_interval_s=baseline_interval_s,
                 prefix_server=prefix_server,
@@ -156,11 +164,28 @@
                 break
             name = view.entry.name
             assigned[name] = assigned.get(name, 0) + 1
+            assigned_tokens[name] = assigned_tokens.get(
+                name, 0
+            ) + item_unread_tokens(
+                state, is_prefix_cached=name == prefix_server
+            )
             prefix_servers[job.submission.job_id, state.item.group] = name
             placed.append(Placement(job=job, state=state, server=view))
     return placed
 
 
+def item_unread_tokens(state: ItemState, *, is_prefix_cached: bool) -> int:
+    """Returns the prompt tokens that a server has to read for an item.
+
+    Args:
+        state: The item.
+        is_prefix_cached: Whether the server has read the group's prompt.
+    """
+    if is_prefix_cached:
+        return state.item.own_prompt_tokens
+    return state.item.prompt_tokens
+
+
 def item_remaining_events(job: JobState, state: ItemState) -> float:
     """Returns the number of events an item is still expected to need."""
     return expected_remaining_events(
@@ -215,8 +240,10 @@
 def _fastest_server(
     views: Sequence[ServerView],
     assigned: dict[str, int],
+    assigned_tokens: dict[str, int],
     *,
     state: ItemState,
+    prompt_tokens_per_s: float | None,
     events: float,
     baseline_interval_s: float,
     prefix_server: str | None,
@@ -229,6 +256,9 @@
     Args:
         views: Servers that may generate it.
         assigned: Requests placed in this pass, by server name.
+        assigned_tokens: Prompt tokens placed in this pass, by server name.
+        prompt_tokens_per_s: Prompt tokens that a server reads in a second; None
+            if the length of prompts does not count.
         state: The item; a server whose software did not begin its completion
             generates it from the beginning.
         events: Events the completion still needs.
@@ -258,7 +288,19 @@
         cost = needed * (view.event_interval_s or baseline_interval_s)
         cost += _FULL_LOAD_COST_S * load / slots + _JITTER_S * rng.random()
         cost += _REMOTE_COST_S * (view.entry.data_centre != data_centre)
-        cost -= _PREFIX_CACHE_GAIN_S * (view.entry.name == prefix_server)
+        is_prefix_cached = view.entry.name == prefix_server
+        cost -= _PREFIX_CACHE_GAIN_S * is_prefix_cached
+        if prompt_tokens_per_s:
+            cost += prompt_cost_s(
+                tokens=item_unread_tokens(
+                    state, is_prefix_cached=is_prefix_cached
+                ),
+                queued_tokens=view.prompts.tokens
+                + assigned_tokens.get(view.entry.name, 0),
+                running=load,
+                slots=slots,
+                tokens_per_s=prompt_tokens_per_s,
+            )
         cost += _NEW_CONNECTION_COST_S * (
             not view.has_idle_connection(reserved=reserved)
         )
--- a/endivespindle/batch/submission.py
+++ b/endivespindle/batch/submission.py
@@ -39,6 +39,8 @@
         group: Group whose items share a prompt; empty if there is none.
         score: Reward call, if the result needs a score.
         hint: Output tokens that the trainer expects; 0 if it gave no estimate.
+        prompt_tokens: Prompt tokens; 0 if they are not known.
+        own_prompt_tokens: Those that the group does not share.
     """
 
     item_id: str
@@ -49,6 +51,8 @@
     group: str = ""
     score: RewardCall | None = None
     hint: int = 0
+    prompt_tokens: int = 0
+    own_prompt_tokens: int = 0
 
 
 class BatchSubmission(msgspec.Struct, kw_only=True, frozen=True):
--- a/endivespindle/batch/tests/jobs.py
+++ b/endivespindle/batch/tests/jobs.py
@@ -8,7 +8,7 @@
 from endivespindle.serving.calls import StreamEvent
 
 
-def item(name, group="g1", hint=10, score=False):
+def item(name, group="g1", hint=10, score=False, **changes):
     return BatchItem(
         item_id=name,
         path="/gen/1",
@@ -25,6 +25,7 @@
         )
         if score
         else None,
+        **changes,
     )
 
 
--- a/endivespindle/platform/jobs.py
+++ b/endivespindle/platform/jobs.py
@@ -21,6 +21,7 @@
 _ITEM_PREFIX = "/items/"
 # Header with the trainer's estimate of the number of output tokens.
 _LENGTH_HINT = "x-length-hint"
+_PROMPT_PARTS = "x-prompt-prefix"
 
 
 class _Scorer(msgspec.Struct):
@@ -138,9 +139,14 @@
 
 
 def _batch_item(doc: _Item) -> BatchItem:
-    hint = next(
-        (v for k, v in doc.headers.items() if k.lower() == _LENGTH_HINT), ""
-    )
+    headers = {name.lower(): value for name, value in doc.headers.items()}
+    hint = headers.get(_LENGTH_HINT, "")
+    # Parts of the prompt as ID:TOKENS; the last one is the item's own.
+    parts = [
+        int(tokens)
+        for part in headers.get(_PROMPT_PARTS, "").split(",")
+        if (tokens := part.rpartition(":")[2].strip()).isdecimal()
+    ]
     reward_call = None
     if doc.scorer is not None:
         reward_call = RewardCall(
@@ -158,4 +164,6 @@
         group=doc.group,
         score=reward_call,
         hint=int(hint) if hint.isdecimal() else 0,
+        prompt_tokens=sum(parts),
+        own_prompt_tokens=parts[-1] if parts else 0,
     )
--- a/endivespindle/platform/settings_file.py
+++ b/endivespindle/platform/settings_file.py
@@ -19,6 +19,7 @@
 __all__ = ["decode_settings_file", "load_settings_file", "settings_file_path"]
 
 _PATH_VARIABLE = "ENDIVESPINDLE_BOOT"
+_PROMPT_SPEED_VARIABLE = "ENDIVESPINDLE_PROMPT_TOKENS_PER_S"
 _DEFAULT_PATH = "/etc/endivespindle/local.yaml"
 # Machine class of the VMs that have a disk.
 _DISK_MACHINE_CLASS = "storage"
@@ -138,6 +139,8 @@
         duties=tuple(cloud_api.duties) if cloud_api else (),
         cpu=doc.limits.cpu_share * doc.limits.cores,
         is_first_start=doc.bootstrap,
+        prompt_tokens_per_s=float(os.environ.get(_PROMPT_SPEED_VARIABLE, 0))
+        or None,
     )
 
 
--- a/endivespindle/runtime/completion_runner.py
+++ b/endivespindle/runtime/completion_runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from endivespindle.batch.generation_speed import (
     baseline_event_interval_s,
@@ -13,6 +13,7 @@
 from endivespindle.batch.schedule import (
     MAX_START_DELAY_S,
     item_remaining_events,
+    item_unread_tokens,
 )
 from endivespindle.core.clock import Clock
 from endivespindle.core.reasons import Reason, RetryReason
@@ -157,6 +158,9 @@
             await asyncio.sleep(delay_s)
         start_s = self._clock.monotonic()
         outcome = "cancelled"
+        prompt = view.prompts.add(
+            item_unread_tokens(state, is_prefix_cached=False)
+        )
         try:
             with job.awaiting_response() as mark_answered:
                 async with open_attempt(
@@ -172,12 +176,17 @@
                 ) as resp:
                     mark_answered()
                     outcome = await self._receive_response(
-                        job, state, view, resp
+                        job,
+                        state,
+                        view,
+                        resp,
+                        on_event=lambda: view.prompts.remove(prompt),
                     )
         except BackendServerError as exc:
             outcome = exc.reason.code
             self._metrics.count_retry(RetryReason.RESUME)
         finally:
+            view.prompts.remove(prompt)
             # Also when the job changes its owner, which cancels the attempt.
             self._log.event(
                 "item_attempt",
@@ -211,6 +220,8 @@
         state: ItemState,
         view: ServerView,
         resp: ServerResponse,
+        *,
+        on_event: Callable[[], None],
     ) -> str:
         """Reads a response; returns the outcome for the log."""
         head = resp.head
@@ -246,7 +257,9 @@
                 return "stale_version"
         # A response without events, which only confirms that the completion has
         # ended, names no version.
-        return await self._receive_events(job, state, view, resp, version)
+        return await self._receive_events(
+            job, state, view, resp, version, on_event=on_event
+        )
 
     async def _receive_events(
         self,
@@ -255,6 +268,8 @@
         view: ServerView,
         resp: ServerResponse,
         version: int | None,
+        *,
+        on_event: Callable[[], None],
     ) -> str:
         """Reads the events of a response; returns the outcome for the log."""
         sub = job.state.submission
@@ -279,6 +294,7 @@
             if not state.append_event(event, version, software=software):
                 state.discard_completion()
                 return "out_of_order"
+            on_event()
             interval_s = intervals.record_event()
             if intervals.events > 1:
                 # The first interval includes queueing and prefill.
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -218,6 +218,7 @@
             data_centre=settings.data_centre,
             log=parts.log,
             metrics=parts.metrics,
+            prompt_tokens_per_s=settings.prompt_tokens_per_s,
         )
         self._reports = ControllerReports(
             ctx=parts,
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -69,6 +69,8 @@
         data_centre: Data centre of this VM.
         log: Decision log.
         metrics: Counters.
+        prompt_tokens_per_s: Prompt tokens that a server reads in a second; None
+            if the length of prompts does not count.
 
     Attributes:
         jobs: Jobs owned by this node, by job id.
@@ -84,6 +86,7 @@
         "_log",
         "_lost_states",
         "_partial_completions",
+        "_prompt_tokens_per_s",
         "_provisional",
         "_rewards",
         "_rng",
@@ -108,7 +111,9 @@
         data_centre: str,
         log: EventLog,
         metrics: NodeMetrics,
+        prompt_tokens_per_s: float | None = None,
     ):
+        self._prompt_tokens_per_s = prompt_tokens_per_s
         self._store = store
         self._directory = directory
         self._config = config
@@ -443,6 +448,7 @@
             data_centre=self._data_centre,
             now_s=now_s,
             rng=self._rng,
+            prompt_tokens_per_s=self._prompt_tokens_per_s,
         )
         for placement in placements:
             job = by_id[placement.job.submission.job_id]
--- a/endivespindle/runtime/settings.py
+++ b/endivespindle/runtime/settings.py
@@ -94,6 +94,9 @@
         cpu: CPU seconds per second available to this VM, in cores of the
             platform's usual speed.
         is_first_start: Whether the fleet starts for the first time.
+        prompt_tokens_per_s: Prompt tokens that an engine reads in a second, by
+            which long prompts are placed apart from short ones; None if the
+            length of prompts does not count.
     """
 
     name: str
@@ -112,3 +115,4 @@
     duties: tuple[str, ...] = ()
     cpu: float = 1.0
     is_first_start: bool = False
+    prompt_tokens_per_s: float | None = None
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -13,6 +13,7 @@
 )
 from endivespindle.serving.connection_estimate import ConnectionEstimate
 from endivespindle.serving.model_access import ModelAccess
+from endivespindle.serving.prompt_queue import PromptQueue
 from endivespindle.serving.rate_limit import ServerRateLimit
 from endivespindle.serving.rate_meter import RateMeter
 from endivespindle.serving.rate_shares import LimitReport, LimitShare
@@ -60,6 +61,7 @@
         is_evacuated: Whether nothing may be sent to its data centre.
         rate_limit: Request rate that it accepts.
         models: Models whose requests may be sent there.
+        prompts: Prompts of this VM that it has still to read.
         availability: Whether it accepts new requests.
         in_flight: Number of this VM's requests at the server.
         versions: Weight version by model, by the newest update from any
@@ -94,6 +96,7 @@
         "in_flight",
         "is_evacuated",
         "models",
+        "prompts",
         "rate_limit",
         "versions",
     )
@@ -131,6 +134,7 @@
         self.entry = entry
         self.in_flight = 0
         self.models = ModelAccess(clock=clock)
+        self.prompts = PromptQueue()
         self.versions = dict(entry.versions)
         self.failure_rate = 0.0
         self.duration_s = 0.0
--- a/endivespindle/serving/server_paths.py
+++ b/endivespindle/serving/server_paths.py
@@ -25,7 +25,7 @@
 # while open connections still work.
 _MIN_REFUSALS = 2
 _REFUSAL_S = 2.0
-# Time within which a connection is refused. One that hangs instead has taken the
+# Time within which a connection is refused. One that hangs instead has used the
 # time in which another VM could have helped, and in a cut between data centres
 # the VMs that could be asked hang as well.
 _MAX_REFUSAL_DELAY_S = 0.05
