Take no requests in for other gateways while shutting down

A gateway that shuts down took single attempts of others in, whose replies its end would cut; and one that did not know the evacuations yet called itself ready, though it refuses every request.

Change: it refuses them as not run, and is ready only once evacuations are known.

Measured: tests only.

--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -115,6 +115,7 @@
         "_directory",
         "_ingress",
         "_jobs",
+        "_lender",
         "_paths",
         "_peers",
         "_ready_runner",
@@ -274,7 +275,7 @@
             log=parts.log,
             metrics=parts.metrics,
         )
-        lender = PathLender(
+        lender = self._lender = PathLender(
             ctx=parts,
             api=direct,
             paths=paths,
@@ -410,6 +411,7 @@
         """Drains: refuses new jobs, hands over open ones, finishes requests."""
         self._ingress.is_draining = True
         self._jobs.draining = True
+        self._lender.is_draining = True
         clock = self._ctx.clock
         start_s = clock.monotonic()
         await self._jobs.hand_over_all()
@@ -443,6 +445,7 @@
             and self._config.version > 0
             and self._config.is_fresh()
             and len(self._directory) > 0
+            and self._directory.are_evacuations_known
         )
 
     def _explain_placement(self, host: str, path: str) -> PlacementReport:
--- a/endivespindle/runtime/lent_path.py
+++ b/endivespindle/runtime/lent_path.py
@@ -46,6 +46,9 @@
         directory: Known backend servers.
         config: Active configuration.
         count_own: Returns the number of its own callers' requests in progress.
+
+    Attributes:
+        is_draining: Whether this VM shuts down and takes no more requests in.
     """
 
     __slots__ = (
@@ -56,6 +59,7 @@
         "_directory",
         "_lent",
         "_paths",
+        "is_draining",
     )
 
     def __init__(
@@ -75,6 +79,7 @@
         self._config = config
         self._count_own = count_own
         self._lent = 0
+        self.is_draining = False
 
     async def handle(
         self, request: web.BaseRequest, body: bytes
@@ -157,6 +162,8 @@
         view = self._directory.get(req.server)
         if view is None or view.entry.started_ms != req.started_ms:
             raise LenderRefusedError("the server is not known")
+        if self.is_draining:
+            raise LenderRefusedError("this VM shuts down")
         if self._paths.should_borrow(view.entry.service):
             raise LenderRefusedError("this VM is cut off")
         if not may_lend(lent=self._lent - 1, own=self._count_own()):
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -345,10 +345,12 @@
             server of a service may be sent; None if there is no bound.
         are_evacuations_known: Whether the evacuated data centres are known;
             until then nothing is sent.
+
+    Attributes:
+        are_evacuations_known: Whether the evacuated data centres are known.
     """
 
     __slots__ = (
-        "_are_evacuations_known",
         "_by_service",
         "_clock",
         "_cold_limit",
@@ -362,6 +364,7 @@
         "_on_response",
         "_software_seen_s",
         "_views",
+        "are_evacuations_known",
     )
 
     def __init__(
@@ -381,7 +384,7 @@
         self._clock = clock
         self._on_cold = on_cold
         self._cold_limit = cold_limit
-        self._are_evacuations_known = are_evacuations_known
+        self.are_evacuations_known = are_evacuations_known
         self._evacuated: frozenset[str] = frozenset()
         self._on_response = on_response
         self._on_leaving = on_leaving
@@ -462,14 +465,14 @@
 
     def set_evacuated(self, data_centres: Iterable[str]) -> None:
         """Replaces the data centres to whose servers nothing is sent."""
-        self._are_evacuations_known = True
+        self.are_evacuations_known = True
         self._evacuated = frozenset(data_centres)
         for view in self._views.values():
             view.is_evacuated = self._is_evacuated(view)
 
     def _is_evacuated(self, view: ServerView) -> bool:
         return (
-            not self._are_evacuations_known
+            not self.are_evacuations_known
             or view.entry.data_centre in self._evacuated
         )
 
--- a/tests/test_borrowed_path.py
+++ b/tests/test_borrowed_path.py
@@ -124,7 +124,7 @@
             connect=self._connect,
         )
         self.own = 0
-        lender = PathLender(
+        self.lender = lender = PathLender(
             ctx=self.parts,
             api=direct,
             paths=self.paths,
@@ -325,6 +325,17 @@
     _play(story, gateways=2)
 
 
+def test_a_gateway_that_shuts_down_takes_no_more_requests_in():
+    async def story(world, cut, leaving, other):
+        await cut.become_cut("refuse")
+        leaving.lender.is_draining = True
+        for number in range(10):
+            assert await cut.send("s0", f"r{number}") == b"ok"
+            assert world.runs_of(f"r{number}") == [other.name]
+
+    _play(story)
+
+
 def test_a_gateway_that_is_not_cut_off_sends_directly():
     async def story(world, gateway, *others):
         world.dead.update(("s0", "s1"))
