--- a/endivespindle/runtime/lent_path.py
+++ b/endivespindle/runtime/lent_path.py
@@ -166,6 +166,7 @@
             raise LenderRefusedError("this VM shuts down")
         if self._paths.should_borrow(view.entry.service):
             raise LenderRefusedError("this VM is cut off")
+        # Without this one, which is counted already.
         if not may_lend(lent=self._lent - 1, own=self._count_own()):
             raise LenderRefusedError("the own callers need all room")
         if req.call.client_account and not self._config.is_fresh():
