Tell a cut between data centres from a cut from all servers

Cause: in a cut between data centres a burst of items fails at all far servers before a near one responds. That was taken for a cut from all servers, other gateways were asked, and the pauses of the unreachable servers ended, so that items went there again and again.

Change: servers of the own data centre must be among those that fail, if there are any; pauses end only once another gateway has reached a server.

--- a/endivespindle/runtime/borrowed_path.py
+++ b/endivespindle/runtime/borrowed_path.py
@@ -12,10 +12,10 @@
     translate_read_errors,
     translate_send_errors,
 )
-from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import BackendServerError
 from endivespindle.runtime.context import RuntimeContext
 from endivespindle.runtime.fleet_view import NodeRecord
+from endivespindle.runtime.monitored_path import MonitoredServerApi
 from endivespindle.runtime.path_messages import (
     LEND_PATH,
     BodyFrame,
@@ -47,7 +47,6 @@
 
 __all__ = [
     "BorrowingServerApi",
-    "MonitoredServerApi",
     "connect_to_server",
 ]
 
@@ -64,60 +63,6 @@
 _PROBE_TIMEOUT_S = 0.3
 
 
-class MonitoredServerApi(ServerApi):
-    """Sends requests directly and records which of them get a response.
-
-    Args:
-        api: Client for backend servers.
-        paths: Records the outcomes.
-    """
-
-    __slots__ = ("_api", "_paths")
-
-    def __init__(self, *, api: ServerApi, paths: ServerPaths):
-        self._api = api
-        self._paths = paths
-
-    @contextlib.asynccontextmanager
-    async def send(
-        self, server: ServerEntry, call: ServerCall, *, timeout_s: float | None
-    ) -> AsyncIterator[ServerResponse]:
-        """Sends a request; see `ServerApi`."""
-        service = server.service
-        number = self._paths.begin(service, server.name)
-        async with contextlib.AsyncExitStack() as stack:
-            try:
-                response = await stack.enter_async_context(
-                    self._api.send(server, call, timeout_s=timeout_s)
-                )
-            except BackendServerError as exc:
-                self._paths.end(
-                    service,
-                    number,
-                    # Also a response to another request shows that it is there.
-                    has_responded=exc.reason is Reason.ANSWER_MISMATCH,
-                    was_refused=exc.ran is RunState.NOT_RUN,
-                )
-                raise
-            except BaseException:
-                self._paths.abandon(service, number)
-                raise
-            self._paths.end(service, number, has_responded=True)
-            yield response
-
-    async def report(
-        self, server: ServerEntry, *, timeout_s: float
-    ) -> ServerReport:
-        """Returns the state reported by a server."""
-        return await self._api.report(server, timeout_s=timeout_s)
-
-    async def order_version(
-        self, server: ServerEntry, order: VersionOrder, *, timeout_s: float
-    ) -> OrderResponse:
-        """Sends an order."""
-        return await self._api.order_version(server, order, timeout_s=timeout_s)
-
-
 class BorrowingServerApi(ServerApi):
     """Sends requests directly, or through another gateway during a cut.
 
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -9,7 +9,6 @@
 from endivespindle.platform.servers import PlatformServerApi
 from endivespindle.runtime.borrowed_path import (
     BorrowingServerApi,
-    MonitoredServerApi,
     connect_to_server,
 )
 from endivespindle.runtime.context import RuntimeContext
@@ -20,6 +19,7 @@
 from endivespindle.runtime.job_service import JobService
 from endivespindle.runtime.job_store import JobStore
 from endivespindle.runtime.lent_path import PathLender
+from endivespindle.runtime.monitored_path import MonitoredServerApi
 from endivespindle.runtime.origin_exchange import SharedOrigins
 from endivespindle.runtime.path_messages import LEND_PATH
 from endivespindle.runtime.peer_client import (
@@ -181,6 +181,11 @@
             count_servers=lambda service: len(
                 self._directory.available_servers(service)
             ),
+            near_servers=lambda service: [
+                view.entry.name
+                for view in self._directory.available_servers(service)
+                if view.entry.data_centre == settings.data_centre
+            ],
             on_change=self._apply_path_change,
         )
         direct = MonitoredServerApi(
@@ -480,8 +485,9 @@
         )
 
     def _apply_path_change(self, service: str, state: PathState) -> None:
-        # The failures so far were those of the path, not of the servers.
-        self._directory.clear_pauses(service)
+        if state is PathState.CUT:
+            # The failures so far were those of the path, not of the servers.
+            self._directory.clear_pauses(service)
         self._ctx.log.state_change(
             "server_path", service=service, state=state.value
         )
--- a/endivespindle/serving/server_paths.py
+++ b/endivespindle/serving/server_paths.py
@@ -3,7 +3,7 @@
 import enum
 import itertools
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Set
 
 from endivespindle.core.clock import Clock
 
@@ -119,12 +119,15 @@
         clock: Clock of this VM.
         count_servers: Returns the number of servers of a service that accept
             requests.
+        near_servers: Returns the names of those in this VM's data centre. In a
+            cut between data centres the others fail, and these respond.
         on_change: Called with the service and its state when that changes.
     """
 
     __slots__ = (
         "_clock",
         "_count_servers",
+        "_near_servers",
         "_numbers",
         "_on_change",
         "_paths",
@@ -136,7 +139,9 @@
         clock: Clock,
         count_servers: Callable[[str], int],
         on_change: Callable[[str, PathState], None],
+        near_servers: Callable[[str], Collection[str]] = lambda service: (),
     ):
+        self._near_servers = near_servers
         self._clock = clock
         self._count_servers = count_servers
         self._on_change = on_change
@@ -199,6 +204,7 @@
             and (path.failures or path.pending)
             and self._clock.monotonic() >= path.down_until_s
             and len(self._silent(path)) >= self._needed(service)
+            and self._are_near_among(service, self._silent(path))
         ):
             self._apply(service, PathEvent.SERVERS_SILENT)
         return path.state is not PathState.DIRECT
@@ -210,13 +216,16 @@
         """
         path = self._path(service)
         now_s = self._clock.monotonic()
-        recent = [
-            at_s
-            for at_s in path.refusals.values()
+        recent = {
+            server
+            for server, at_s in path.refusals.items()
             if now_s - at_s <= _REFUSAL_S
-        ]
-        return now_s >= path.down_until_s and len(recent) >= min(
-            _MIN_REFUSALS, max(1, self._count_servers(service))
+        }
+        needed = min(_MIN_REFUSALS, max(1, self._count_servers(service)))
+        return (
+            now_s >= path.down_until_s
+            and len(recent) >= needed
+            and self._are_near_among(service, recent)
         )
 
     def record_borrowed(self, service: str, *, has_reached: bool) -> None:
@@ -249,6 +258,11 @@
             path.response_s = self._clock.monotonic()
         self._on_change(service, path.state)
 
+    def _are_near_among(self, service: str, servers: Set[str]) -> bool:
+        """Returns whether servers of this data centre fail too, if any are."""
+        near = self._near_servers(service)
+        return not near or not servers.isdisjoint(near)
+
     def _needed(self, service: str) -> int:
         return min(_MIN_SERVERS, max(1, self._count_servers(service)))
 
--- a/endivespindle/serving/tests/test_server_paths.py
+++ b/endivespindle/serving/tests/test_server_paths.py
@@ -10,13 +10,14 @@
 
 
 class _World:
-    def __init__(self, *, servers=6):
+    def __init__(self, *, servers=6, near=()):
         self.clock = ManualClock()
         self.changes = []
         self.paths = ServerPaths(
             clock=self.clock,
             count_servers=lambda service: servers,
             on_change=lambda service, state: self.changes.append(state),
+            near_servers=lambda service: near,
         )
 
     def attempt(self, server, **outcome):
@@ -89,6 +90,18 @@
         assert not world.is_borrowing()
 
 
+def test_a_cut_between_data_centres_is_no_cut_from_the_servers():
+    """Pattern: a burst fails at all far servers before a near one responds."""
+    world = _World(near=("s4", "s5"))
+    for _ in range(5):
+        world.fail("s1", "s2", "s3")
+        assert not world.is_borrowing()
+        assert not world.paths.may_borrow(SERVICE)
+        world.clock.advance(0.2)
+    world.fail("s4")
+    assert world.is_borrowing()
+
+
 def test_servers_that_nobody_reaches_are_down():
     world = _World()
     world.fail("s1", "s2", "s3")
--- a/tests/test_borrowed_path.py
+++ b/tests/test_borrowed_path.py
@@ -16,12 +16,10 @@
 
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import BackendServerError
-from endivespindle.runtime.borrowed_path import (
-    BorrowingServerApi,
-    MonitoredServerApi,
-)
+from endivespindle.runtime.borrowed_path import BorrowingServerApi
 from endivespindle.runtime.fleet_view import NODE_KIND
 from endivespindle.runtime.lent_path import PathLender
+from endivespindle.runtime.monitored_path import MonitoredServerApi
 from endivespindle.runtime.path_messages import (
     LEND_PATH,
     EventFrame,
--- a/tests/test_configuration_age.py
+++ b/tests/test_configuration_age.py
@@ -82,6 +82,9 @@
     def serve_store(self, handle):
         del handle
 
+    def serve_stream_origins(self, origins):
+        del origins
+
 
 class _World:
     """Three controllers that relay watches, and a gateway that follows them.
