Name why another gateway does not pass a request on

path_lent and path_borrowed showed backend_unreachable or refused for a lender that is cut off, full, without confirmed keys or shutting down, and server_path did not say what changed the state. Both lines and both counters name the cause now. No decision changes.

--- a/endivespindle/runtime/borrowed_path.py
+++ b/endivespindle/runtime/borrowed_path.py
@@ -41,7 +41,7 @@
     VersionOrder,
 )
 from endivespindle.serving.directory import ServerDirectory
-from endivespindle.serving.path_lenders import LenderChoice
+from endivespindle.serving.path_lenders import LenderChoice, LenderRefusal
 from endivespindle.serving.server_entry import ServerEntry
 from endivespindle.serving.server_paths import ServerPaths
 
@@ -176,9 +176,7 @@
                 one that was asked does not rule it out.
         """
         peers = {n.name: n for n in self._ctx.fleet.peers(NodeRole.GATEWAY)}
-        error: BackendServerError = LenderRefusedError(
-            "no other gateway reaches the server"
-        )
+        error: BackendServerError = LenderRefusedError(LenderRefusal.NONE_LEFT)
         for name in self._lenders.choose(peers, count=_MAX_LENDERS):
             try:
                 response = await stack.enter_async_context(
@@ -187,7 +185,7 @@
             except LenderRefusedError as exc:
                 error = exc
                 self._lenders.record(name, has_reached=False)
-                self._record(server, call, name, "refused")
+                self._record(server, call, name, exc.cause)
                 continue
             except BackendServerError as exc:
                 error = exc
@@ -244,7 +242,9 @@
                 )
         except BackendServerError as exc:
             if exc.ran is RunState.NOT_RUN:
-                raise LenderRefusedError(f"{lender.name}: {exc}") from exc
+                raise LenderRefusedError(
+                    LenderRefusal.NO_REPLY, f"{lender.name}: {exc}"
+                ) from exc
             raise
         try:
             yield await _BorrowedResponse.open(resp)
@@ -294,7 +294,9 @@
             BackendServerError: The server did not respond.
         """
         if resp.status != 200:
-            raise LenderRefusedError(f"status {resp.status}")
+            raise LenderRefusedError(
+                LenderRefusal.NO_REPLY, f"status {resp.status}"
+            )
         frames = _read_frames(resp)
         first = await anext(frames, None)
         if not isinstance(first, HeadFrame):
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -489,7 +489,10 @@
             # The failures so far were those of the path, not of the servers.
             self._directory.clear_pauses(service)
         self._ctx.log.state_change(
-            "server_path", service=service, state=state.value
+            "server_path",
+            service=service,
+            state=state.value,
+            cause=self._paths.cause(service),
         )
         self._runner.wake()
 
--- a/endivespindle/runtime/lent_path.py
+++ b/endivespindle/runtime/lent_path.py
@@ -24,7 +24,7 @@
 from endivespindle.serving.active_config import ActiveConfig
 from endivespindle.serving.calls import ResponseHead, ServerApi
 from endivespindle.serving.directory import ServerDirectory, ServerView
-from endivespindle.serving.path_lenders import may_lend
+from endivespindle.serving.path_lenders import LenderRefusal, may_lend
 from endivespindle.serving.server_paths import ServerPaths
 
 __all__ = ["PathLender"]
@@ -128,13 +128,14 @@
                     await write(BodyFrame(data=await response.read()))
             await write(EndFrame())
         except BackendServerError as exc:
-            outcome = exc.reason.code
+            refusal = exc.cause if isinstance(exc, LenderRefusedError) else ""
+            outcome = refusal or exc.reason.code
             await write(
                 FailureFrame(
                     text=str(exc),
                     ran=exc.ran,
                     reason=exc.reason.name,
-                    is_refusal=isinstance(exc, LenderRefusedError),
+                    refusal=refusal,
                 )
             )
         except asyncio.CancelledError:
@@ -161,16 +162,16 @@
         """
         view = self._directory.get(req.server)
         if view is None or view.entry.started_ms != req.started_ms:
-            raise LenderRefusedError("the server is not known")
+            raise LenderRefusedError(LenderRefusal.SERVER_UNKNOWN)
         if self.is_draining:
-            raise LenderRefusedError("this VM shuts down")
+            raise LenderRefusedError(LenderRefusal.DRAINING)
         if self._paths.should_borrow(view.entry.service):
-            raise LenderRefusedError("this VM is cut off")
+            raise LenderRefusedError(LenderRefusal.CUT)
         # Without this one, which is counted already.
         if not may_lend(lent=self._lent - 1, own=self._count_own()):
-            raise LenderRefusedError("the own callers need all room")
+            raise LenderRefusedError(LenderRefusal.NO_ROOM)
         if req.call.client_account and not self._config.is_fresh():
-            raise LenderRefusedError("keys are not confirmed")
+            raise LenderRefusedError(LenderRefusal.KEYS_UNCONFIRMED)
         return view
 
 
--- a/endivespindle/runtime/path_messages.py
+++ b/endivespindle/runtime/path_messages.py
@@ -12,6 +12,7 @@
 from endivespindle.exceptions import BackendServerError
 from endivespindle.schema.generated.caller import RunState
 from endivespindle.serving.calls import ResponseHead, ServerCall, StreamEvent
+from endivespindle.serving.path_lenders import LenderRefusal
 
 __all__ = [
     "LEND_PATH",
@@ -33,12 +34,19 @@
 
 
 class LenderRefusedError(BackendServerError):
-    """Another gateway did not try to pass the request on; it was not run."""
+    """Another gateway did not try to pass the request on; it was not run.
 
-    def __init__(self, message: str):
+    Attributes:
+        cause: Why it did not.
+    """
+
+    def __init__(self, cause: LenderRefusal, message: str = ""):
         super().__init__(
-            message, ran=RunState.NOT_RUN, reason=Reason.BACKEND_UNREACHABLE
+            message or f"another gateway refused: {cause}",
+            ran=RunState.NOT_RUN,
+            reason=Reason.BACKEND_UNREACHABLE,
         )
+        self.cause = cause
 
 
 class LendRequest(msgspec.Struct, kw_only=True):
@@ -89,22 +97,31 @@
         text: Description for the log.
         ran: Whether the request ran.
         reason: Name of the reason.
-        is_refusal: Whether the gateway did not try to pass the request on.
+        refusal: Why the gateway did not try to pass the request on; empty if it
+            did.
     """
 
     text: str
     ran: RunState
     reason: str
-    is_refusal: bool = False
+    refusal: str = ""
 
     def error(self) -> BackendServerError:
         """Returns the error as if it had happened on this VM."""
-        if self.is_refusal:
-            return LenderRefusedError(self.text)
+        if self.refusal:
+            return LenderRefusedError(_refusal(self.refusal), self.text)
         known = Reason.__members__.get(self.reason, Reason.BACKEND_LOST)
         return BackendServerError(self.text, ran=self.ran, reason=known)
 
 
+def _refusal(text: str) -> LenderRefusal:
+    try:
+        return LenderRefusal(text)
+    except ValueError:
+        # Sent by a newer version of the software.
+        return LenderRefusal.NO_REPLY
+
+
 Frame = HeadFrame | EventFrame | BodyFrame | EndFrame | FailureFrame
 _decoder = msgspec.msgpack.Decoder(Frame)
 
--- a/endivespindle/serving/path_lenders.py
+++ b/endivespindle/serving/path_lenders.py
@@ -1,11 +1,12 @@
 """Choice of the VM through which a cut-off VM reaches backend servers."""
 
+import enum
 import random
 from collections.abc import Iterable
 
 from endivespindle.core.clock import Clock
 
-__all__ = ["LenderChoice", "may_lend"]
+__all__ = ["LenderChoice", "LenderRefusal", "may_lend"]
 
 # Time for which a VM that could not help is not asked.
 _PAUSE_S = 2.0
@@ -16,6 +17,28 @@
 _MIN_LENT = 8
 
 
+class LenderRefusal(enum.StrEnum):
+    """Why a VM did not try to pass a request on.
+
+    Attributes:
+        CUT: It is cut off from the servers, too.
+        NO_ROOM: Its own callers leave no room.
+        KEYS_UNCONFIRMED: It cannot confirm keys.
+        DRAINING: It shuts down.
+        SERVER_UNKNOWN: It does not know this incarnation of the server.
+        NO_REPLY: It did not reply.
+        NONE_LEFT: No other VM was left to ask.
+    """
+
+    CUT = "cut"
+    NO_ROOM = "no_room"
+    KEYS_UNCONFIRMED = "keys_unconfirmed"
+    DRAINING = "draining"
+    SERVER_UNKNOWN = "server_unknown"
+    NO_REPLY = "no_reply"
+    NONE_LEFT = "none_left"
+
+
 class LenderChoice:
     """Chooses the VMs that are asked to pass a request on.
 
--- a/endivespindle/serving/server_paths.py
+++ b/endivespindle/serving/server_paths.py
@@ -78,6 +78,7 @@
 
     Attributes:
         state: How requests are sent.
+        cause: What last changed the state.
         failures: Monotonic time of the last failed attempt, by server.
         refusals: Monotonic time of the last refused connection, by server.
         pending: Server and start of each running attempt, by number.
@@ -87,6 +88,7 @@
     """
 
     __slots__ = (
+        "cause",
         "down_until_s",
         "failures",
         "pending",
@@ -98,6 +100,7 @@
 
     def __init__(self) -> None:
         self.state = PathState.DIRECT
+        self.cause: PathEvent | None = None
         self.failures: dict[str, float] = {}
         self.refusals: dict[str, float] = {}
         self.pending: dict[int, tuple[str, float]] = {}
@@ -196,6 +199,10 @@
         """Returns how requests of a service are sent."""
         return self._path(service).state
 
+    def cause(self, service: str) -> PathEvent | None:
+        """Returns what last changed how requests of a service are sent."""
+        return self._path(service).cause
+
     def should_borrow(self, service: str) -> bool:
         """Returns whether requests are sent through other VMs."""
         path = self._path(service)
@@ -250,6 +257,7 @@
         path.state = next_path_state(before, event)
         if path.state is before:
             return
+        path.cause = event
         if path.state is not PathState.CUT:
             path.unreached = 0
         if path.state is PathState.DIRECT:
--- a/tests/test_borrowed_path.py
+++ b/tests/test_borrowed_path.py
@@ -370,6 +370,29 @@
     _play(story, gateways=2)
 
 
+@pytest.mark.parametrize(
+    "cause", ["cut", "no_room", "keys_unconfirmed", "draining"]
+)
+def test_a_refusal_to_lend_names_its_cause(cause):
+    async def story(world, cut, other):
+        await cut.become_cut("refuse")
+        if cause == "cut":
+            await other.become_cut("refuse")
+        elif cause == "no_room":
+            other.lender._lent = 1000
+        elif cause == "keys_unconfirmed":
+            other.config._confirmed_s -= 100.0
+        else:
+            other.lender.is_draining = True
+        with pytest.raises(BackendServerError):
+            await cut.send("s0", "r", account="acme")
+        label = f'outcome="{cause}"'.encode()
+        assert label in other.parts.metrics.render()
+        assert label in cut.parts.metrics.render()
+
+    _play(story, gateways=2)
+
+
 def test_a_gateway_that_shuts_down_takes_no_more_requests_in():
     async def story(world, cut, leaving, other):
         await cut.become_cut("refuse")
