Return to the own path only when a server is reached on it

Callers of cut gateways got 503 after attempts that hung, some seconds after the cut was known. Nothing reached the gateway meanwhile.

Only a probe that connects ends a suspected or known cut now. Attempts that another gateway made and that failed to connect still stop single attempts from being borrowed for a second.

test_servers_that_nobody_reaches_are_down asked for the return to direct.

--- a/endivespindle/runtime/borrowed_path.py
+++ b/endivespindle/runtime/borrowed_path.py
@@ -191,13 +191,16 @@
                 error = exc
                 if exc.ran is not RunState.NOT_RUN:
                     self._lenders.record(name, has_reached=False)
+                else:
+                    self._paths.record_borrowed(
+                        server.service, has_reached=False
+                    )
                 self._record(server, call, name, exc.reason.code)
                 break
             self._lenders.record(name, has_reached=True)
             self._paths.record_borrowed(server.service, has_reached=True)
             self._record(server, call, name, "responded")
             return response
-        self._paths.record_borrowed(server.service, has_reached=False)
         raise error
 
     def _record(
--- a/endivespindle/serving/server_paths.py
+++ b/endivespindle/serving/server_paths.py
@@ -17,8 +17,8 @@
 # Time without a response head after which a running attempt counts: longer than
 # a load of weights takes while few servers load.
 _SILENT_S = 1.0
-# Failed attempts through other VMs after which the servers themselves count as
-# unreachable, and the time for which this is believed.
+# Attempts of other VMs that failed to connect after which the servers themselves
+# count as down, and the time for which no single attempt is borrowed then.
 _MAX_UNREACHED = 2
 _SERVERS_DOWN_S = 1.0
 # Servers that refused a connection lately before a single attempt is borrowed,
@@ -36,7 +36,7 @@
 
     Attributes:
         DIRECT: Over connections of this VM.
-        SUSPECTED: Through other VMs, until one of them reaches a server.
+        SUSPECTED: Through other VMs; none of them has reached a server yet.
         CUT: Through other VMs, which reach the servers.
     """
 
@@ -50,21 +50,18 @@
 
     SERVERS_SILENT = "servers_silent"
     PEER_REACHES = "peer_reaches"
-    PEERS_FAIL = "peers_fail"
     REACHED = "reached"
 
 
+# Only a connection of this VM shows that its path is back. That no other VM
+# helps shows nothing: it may be cut off too, or have no room.
 _NEXT = {
     PathState.DIRECT: {PathEvent.SERVERS_SILENT: PathState.SUSPECTED},
     PathState.SUSPECTED: {
         PathEvent.PEER_REACHES: PathState.CUT,
-        PathEvent.PEERS_FAIL: PathState.DIRECT,
-        PathEvent.REACHED: PathState.DIRECT,
-    },
-    PathState.CUT: {
-        PathEvent.PEERS_FAIL: PathState.DIRECT,
         PathEvent.REACHED: PathState.DIRECT,
     },
+    PathState.CUT: {PathEvent.REACHED: PathState.DIRECT},
 }
 
 
@@ -83,7 +80,8 @@
         refusals: Monotonic time of the last refused connection, by server.
         pending: Server and start of each running attempt, by number.
         response_s: Monotonic time of the last response.
-        unreached: Attempts through other VMs that failed since one succeeded.
+        unreached: Attempts of other VMs that failed to connect since one
+            succeeded.
         down_until_s: Monotonic time until which the servers count as down.
     """
 
@@ -209,7 +207,6 @@
         if (
             path.state is PathState.DIRECT
             and (path.failures or path.pending)
-            and self._clock.monotonic() >= path.down_until_s
             and len(self._silent(path)) >= self._needed(service)
             and self._are_near_among(service, self._silent(path))
         ):
@@ -236,7 +233,7 @@
         )
 
     def record_borrowed(self, service: str, *, has_reached: bool) -> None:
-        """Records whether another VM reached a server."""
+        """Records whether another VM, which tried to, reached a server."""
         path = self._path(service)
         if has_reached:
             path.unreached = 0
@@ -245,7 +242,6 @@
         path.unreached += 1
         if path.unreached >= _MAX_UNREACHED:
             path.down_until_s = self._clock.monotonic() + _SERVERS_DOWN_S
-            self._apply(service, PathEvent.PEERS_FAIL)
 
     def record_reached(self, service: str) -> None:
         """Records that a probe connected to a server."""
@@ -258,9 +254,8 @@
         if path.state is before:
             return
         path.cause = event
-        if path.state is not PathState.CUT:
-            path.unreached = 0
         if path.state is PathState.DIRECT:
+            path.unreached = 0
             path.failures.clear()
             path.refusals.clear()
             path.response_s = self._clock.monotonic()
--- a/endivespindle/serving/tests/test_server_paths.py
+++ b/endivespindle/serving/tests/test_server_paths.py
@@ -102,20 +102,34 @@
     assert world.is_borrowing()
 
 
-def test_servers_that_nobody_reaches_are_down():
+def test_others_that_do_not_help_are_no_sign_that_the_path_is_back():
+    """Pattern: most VMs are cut at once and ask each other for help."""
     world = _World()
     world.fail("s1", "s2", "s3")
     assert world.is_borrowing()
-    for _ in range(2):
+    for _ in range(20):
         world.paths.record_borrowed(SERVICE, has_reached=False)
+        world.clock.advance(0.5)
+        assert world.is_borrowing()
+    assert world.changes == [PathState.SUSPECTED]
+    world.paths.record_reached(SERVICE)
     assert not world.is_borrowing()
+
+
+def test_single_attempts_are_not_borrowed_while_servers_are_down():
+    """Pattern: servers crash, and no other VM connects to them either."""
+    world = _World()
+    world.fail("s1", "s2")
+    assert world.paths.may_borrow(SERVICE)
+    for _ in range(2):
+        world.paths.record_borrowed(SERVICE, has_reached=False)
     # Their failures are no new evidence for a while.
-    world.fail("s1", "s2", "s3")
-    assert not world.is_borrowing()
+    world.fail("s1", "s2")
     assert not world.paths.may_borrow(SERVICE)
+    assert not world.is_borrowing()
     world.clock.advance(1.5)
-    world.fail("s1", "s2", "s3")
-    assert world.is_borrowing()
+    world.fail("s1", "s2")
+    assert world.paths.may_borrow(SERVICE)
 
 
 def test_a_dead_server_during_a_cut_does_not_end_it():
