Go on past gateways that do not know of their cut

Any refusal kept a gateway from being asked for 2 s, also one for lack of room.

Up to eight are asked while each says that the request was not run, three of which may have tried; a lender's connection is given up after 0.2 s. A refusal for lack of room pauses a gateway for 0.05 s, a cut one for a second, doubled while it lasts. test_the_search_goes_on_past_gateways_that_do_not_know_of_ their_cut fails on the code before.

--- a/endivespindle/runtime/borrowed_path.py
+++ b/endivespindle/runtime/borrowed_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import aiohttp
@@ -12,6 +13,7 @@
     translate_read_errors,
     translate_send_errors,
 )
+from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import BackendServerError
 from endivespindle.runtime.context import RuntimeContext
 from endivespindle.runtime.fleet_view import NodeRecord
@@ -51,8 +53,13 @@
 ]
 
 # Gateways that are asked for one attempt, one after the other, as long as each
-# says that the request was not run.
-_MAX_LENDERS = 2
+# says that the request was not run, and those of them that may have tried: if
+# several do not connect, the server is down.
+_MAX_ASKED = 8
+_MAX_TRIED = 3
+# Time within which a server must accept the connection of another gateway. That
+# one may be cut off without knowing it.
+_LENT_CONNECT_TIMEOUT_S = 0.2
 _CONNECT_TIMEOUT_S = 0.3
 # A reply without a byte for this long is lost; see the same bound of responses.
 _SILENCE_TIMEOUT_S = 4.0
@@ -176,28 +183,39 @@
                 one that was asked does not rule it out.
         """
         peers = {n.name: n for n in self._ctx.fleet.peers(NodeRole.GATEWAY)}
+        call = msgspec.structs.replace(
+            call,
+            connect_timeout_s=min(
+                _LENT_CONNECT_TIMEOUT_S, call.connect_timeout_s or math.inf
+            ),
+        )
         error: BackendServerError = LenderRefusedError(LenderRefusal.NONE_LEFT)
-        for name in self._lenders.choose(peers, count=_MAX_LENDERS):
+        tried = 0
+        for name in self._lenders.choose(peers, count=_MAX_ASKED):
             try:
                 response = await stack.enter_async_context(
                     self._borrow(peers[name], server, call, timeout_s=timeout_s)
                 )
             except LenderRefusedError as exc:
                 error = exc
-                self._lenders.record(name, has_reached=False)
+                self._lenders.record_refused(name, exc.cause)
                 self._record(server, call, name, exc.cause)
                 continue
             except BackendServerError as exc:
                 error = exc
-                if exc.ran is not RunState.NOT_RUN:
-                    self._lenders.record(name, has_reached=False)
-                else:
-                    self._paths.record_borrowed(
-                        server.service, has_reached=False
-                    )
                 self._record(server, call, name, exc.reason.code)
-                break
-            self._lenders.record(name, has_reached=True)
+                if exc.ran is not RunState.NOT_RUN:
+                    self._lenders.record_refused(name, LenderRefusal.NO_REPLY)
+                    break
+                if exc.reason is not Reason.BACKEND_UNREACHABLE:
+                    break
+                self._lenders.record_unreached(name)
+                self._paths.record_borrowed(server.service, has_reached=False)
+                tried += 1
+                if tried >= _MAX_TRIED:
+                    break
+                continue
+            self._lenders.record_reached(name)
             self._paths.record_borrowed(server.service, has_reached=True)
             self._record(server, call, name, "responded")
             return response
--- a/endivespindle/serving/path_lenders.py
+++ b/endivespindle/serving/path_lenders.py
@@ -1,6 +1,7 @@
 """Choice of the VM through which a cut-off VM reaches backend servers."""
 
 import enum
+import math
 import random
 from collections.abc import Iterable
 
@@ -8,8 +9,6 @@
 
 __all__ = ["LenderChoice", "LenderRefusal", "may_lend"]
 
-# Time for which a VM that could not help is not asked.
-_PAUSE_S = 2.0
 # VMs that are used at a time: enough to spread the load, and few enough that
 # their connections are used again.
 _MAX_IN_USE = 4
@@ -39,6 +38,27 @@
     NONE_LEFT = "none_left"
 
 
+# Time for which a VM that refused is not asked, doubled with each further
+# refusal of the same kind up to the maximum. Room returns when a request ends;
+# a cut lasts for seconds.
+_PAUSE_S = {
+    LenderRefusal.CUT: 1.0,
+    LenderRefusal.NO_ROOM: 0.05,
+    LenderRefusal.KEYS_UNCONFIRMED: 1.0,
+    LenderRefusal.DRAINING: 8.0,
+    LenderRefusal.SERVER_UNKNOWN: 0.0,
+    LenderRefusal.NO_REPLY: 2.0,
+}
+_MAX_PAUSE_S = {
+    LenderRefusal.CUT: 4.0,
+    LenderRefusal.NO_ROOM: 0.2,
+    LenderRefusal.KEYS_UNCONFIRMED: 2.0,
+    LenderRefusal.DRAINING: 8.0,
+    LenderRefusal.SERVER_UNKNOWN: 0.0,
+    LenderRefusal.NO_REPLY: 8.0,
+}
+
+
 class LenderChoice:
     """Chooses the VMs that are asked to pass a request on.
 
@@ -50,13 +70,14 @@
         rng: Source of the choice.
     """
 
-    __slots__ = ("_clock", "_in_use", "_paused_until_s", "_rng")
+    __slots__ = ("_clock", "_in_use", "_paused_until_s", "_refusals", "_rng")
 
     def __init__(self, *, clock: Clock, rng: random.Random):
         self._clock = clock
         self._rng = rng
         self._in_use: list[str] = []
         self._paused_until_s: dict[str, float] = {}
+        self._refusals: dict[str, tuple[LenderRefusal, int]] = {}
 
     def choose(self, vms: Iterable[str], *, count: int) -> list[str]:
         """Returns the VMs to ask, in this order; may be fewer than `count`."""
@@ -72,13 +93,29 @@
             return [*first, *others][:count]
         return [*others, *self._in_use][:count]
 
-    def record(self, vm: str, *, has_reached: bool) -> None:
-        """Records whether a VM reached a server."""
-        if not has_reached:
-            self._paused_until_s[vm] = self._clock.monotonic() + _PAUSE_S
-        elif vm not in self._in_use:
+    def record_reached(self, vm: str) -> None:
+        """Records that a VM reached a server."""
+        self._refusals.pop(vm, None)
+        if vm not in self._in_use:
             self._in_use.append(vm)
 
+    def record_refused(self, vm: str, cause: LenderRefusal) -> None:
+        """Records that a VM did not try to, or did not reply."""
+        last, repeats = self._refusals.get(vm, (cause, 0))
+        repeats = repeats if last is cause else 0
+        self._refusals[vm] = (cause, repeats + 1)
+        pause_s = min(_MAX_PAUSE_S[cause], math.ldexp(_PAUSE_S[cause], repeats))
+        self._paused_until_s[vm] = self._clock.monotonic() + pause_s
+
+    def record_unreached(self, vm: str) -> None:
+        """Records that a VM tried to reach a server and failed.
+
+        One that reached a server lately tells of the server. Another one is
+        likely to be cut off, and does not know it yet.
+        """
+        if vm not in self._in_use:
+            self.record_refused(vm, LenderRefusal.CUT)
+
 
 def may_lend(*, lent: int, own: int) -> bool:
     """Returns whether a VM passes one more request on for another VM.
--- a/endivespindle/serving/server_paths.py
+++ b/endivespindle/serving/server_paths.py
@@ -17,8 +17,8 @@
 # Time without a response head after which a running attempt counts: longer than
 # a load of weights takes while few servers load.
 _SILENT_S = 1.0
-# Attempts of other VMs that failed to connect after which the servers themselves
-# count as down, and the time for which no single attempt is borrowed then.
+# Failed connections of other VMs after which the servers themselves count as
+# down, and the time for which no single attempt is borrowed then.
 _MAX_UNREACHED = 2
 _SERVERS_DOWN_S = 1.0
 # Servers that refused a connection lately before a single attempt is borrowed,
--- a/endivespindle/serving/tests/test_server_paths.py
+++ b/endivespindle/serving/tests/test_server_paths.py
@@ -3,7 +3,11 @@
 import random
 
 from endivespindle.core.clock import ManualClock
-from endivespindle.serving.path_lenders import LenderChoice, may_lend
+from endivespindle.serving.path_lenders import (
+    LenderChoice,
+    LenderRefusal,
+    may_lend,
+)
 from endivespindle.serving.server_paths import PathState, ServerPaths
 
 SERVICE = "plain"
@@ -191,10 +195,11 @@
             peers = [name for name in (*cut, *others) if name != vm]
             for name in choice.choose(peers, count=2):
                 has_reached = name in others
-                choice.record(name, has_reached=has_reached)
                 if has_reached:
+                    choice.record_reached(name)
                     asked[name] = asked.get(name, 0) + 1
                     break
+                choice.record_refused(name, LenderRefusal.CUT)
                 refused += 1
         assert refused <= len(cut)
     assert len(asked) >= 20
@@ -206,3 +211,27 @@
     assert not may_lend(lent=8, own=0)
     assert may_lend(lent=8, own=20)
     assert not may_lend(lent=20, own=20)
+
+
+def test_a_vm_without_room_is_asked_again_soon_and_a_cut_one_is_not():
+    clock = ManualClock()
+    choice = LenderChoice(clock=clock, rng=random.Random(1))
+    for _ in range(5):
+        choice.record_refused("full", LenderRefusal.NO_ROOM)
+        choice.record_refused("cut", LenderRefusal.CUT)
+    assert choice.choose(["full", "cut"], count=2) == []
+    clock.advance(0.25)
+    assert choice.choose(["full", "cut"], count=2) == ["full"]
+    clock.advance(3.5)
+    assert choice.choose(["cut"], count=2) == []
+    clock.advance(0.5)
+    assert choice.choose(["cut"], count=2) == ["cut"]
+
+
+def test_a_vm_that_reached_servers_is_not_left_for_a_dead_one():
+    clock = ManualClock()
+    choice = LenderChoice(clock=clock, rng=random.Random(1))
+    choice.record_reached("good")
+    for vm in ("good", "cut"):
+        choice.record_unreached(vm)
+    assert choice.choose(["good", "cut"], count=2) == ["good"]
--- a/tests/test_borrowed_path.py
+++ b/tests/test_borrowed_path.py
@@ -137,6 +137,23 @@
     _play(story)
 
 
+def test_the_search_goes_on_past_gateways_that_do_not_know_of_their_cut():
+    """Pattern: most gateways are cut, and most of these had no request."""
+
+    async def story(world, cut, *others):
+        for other in others[:-1]:
+            other.cut.how = "drop"
+        await cut.become_cut("refuse")
+        answers = await asyncio.gather(
+            *(cut.send("s0", f"r{number}") for number in range(5)),
+            return_exceptions=True,
+        )
+        assert answers == [b"ok"] * 5
+        assert await cut.send("s0", "next") == b"ok"
+
+    _play(story, gateways=4)
+
+
 def test_an_attempt_that_is_given_up_ends_at_the_server_too():
     async def story(world, cut, *others):
         await cut.become_cut("refuse")
