Lend as much room as the processor allows, and keep callers' apart from items

A gateway passed on eight requests for others, or as many as its own callers had.

The bound holds for a busy gateway only, told by the delay of a ready task; else 64. Items of batch jobs have room of their own.

--- a/endivespindle/runtime/lent_path.py
+++ b/endivespindle/runtime/lent_path.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import msgspec
 from aiohttp import web
@@ -24,7 +24,8 @@
 from endivespindle.serving.active_config import ActiveConfig
 from endivespindle.serving.calls import ResponseHead, ServerApi
 from endivespindle.serving.directory import ServerDirectory, ServerView
-from endivespindle.serving.path_lenders import LenderRefusal, may_lend
+from endivespindle.serving.lending_room import LendingRoom
+from endivespindle.serving.path_lenders import LenderRefusal
 from endivespindle.serving.server_paths import ServerPaths
 
 __all__ = ["PathLender"]
@@ -54,11 +55,10 @@
     __slots__ = (
         "_api",
         "_config",
-        "_count_own",
         "_ctx",
         "_directory",
-        "_lent",
         "_paths",
+        "_room",
         "is_draining",
     )
 
@@ -77,8 +77,7 @@
         self._paths = paths
         self._directory = directory
         self._config = config
-        self._count_own = count_own
-        self._lent = 0
+        self._room = LendingRoom(count_own=count_own)
         self.is_draining = False
 
     async def handle(
@@ -109,23 +108,12 @@
         async def write(frame: Frame) -> None:
             await resp.write(encode_frame(frame))
 
-        self._lent += 1
         outcome = "responded"
         try:
-            view = self._usable_server(req)
-            async with open_attempt(
-                self._api,
-                view,
-                req.call,
-                clock=self._ctx.clock,
-                timeout_s=req.timeout_s,
-            ) as response:
-                await write(HeadFrame(head=response.head))
-                if _is_stream(response.head):
-                    async for event in response.events():
-                        await write(EventFrame(event=event))
-                else:
-                    await write(BodyFrame(data=await response.read()))
+            await self._measure_delay()
+            with self._take_room(req):
+                view = self._usable_server(req)
+                await self._pass_on(req, view, write)
             await write(EndFrame())
         except BackendServerError as exc:
             refusal = exc.cause if isinstance(exc, LenderRefusedError) else ""
@@ -142,18 +130,64 @@
             outcome = "cancelled"
             raise
         finally:
-            self._lent -= 1
             self._ctx.metrics.count_lent_path(outcome)
             self._ctx.log.event(
                 "path_lent",
                 request_id=req.call.request_id,
                 sender=req.sender,
                 server=req.server,
-                lent=self._lent,
+                lent=self._room.lent,
                 outcome=outcome,
             )
         await resp.write_eof()
 
+    async def _measure_delay(self) -> None:
+        """Measures for how long a ready task waits for the processor."""
+        start_s = self._ctx.clock.monotonic()
+        await asyncio.sleep(0)
+        self._room.record_delay(self._ctx.clock.monotonic() - start_s)
+
+    @contextlib.contextmanager
+    def _take_room(self, req: LendRequest) -> Iterator[None]:
+        """Takes room for a request while it is passed on.
+
+        Raises:
+            LenderRefusedError: There is none.
+        """
+        is_item = req.timeout_s is None
+        if not self._room.try_take(is_item=is_item):
+            raise LenderRefusedError(LenderRefusal.NO_ROOM)
+        try:
+            yield
+        finally:
+            self._room.give_back(is_item=is_item)
+
+    async def _pass_on(
+        self,
+        req: LendRequest,
+        view: ServerView,
+        write: Callable[[Frame], Awaitable[None]],
+    ) -> None:
+        """Sends a request to its server and writes the response.
+
+        Raises:
+            BackendServerError: The server did not respond, or its response
+                broke off.
+        """
+        async with open_attempt(
+            self._api,
+            view,
+            req.call,
+            clock=self._ctx.clock,
+            timeout_s=req.timeout_s,
+        ) as response:
+            await write(HeadFrame(head=response.head))
+            if _is_stream(response.head):
+                async for event in response.events():
+                    await write(EventFrame(event=event))
+            else:
+                await write(BodyFrame(data=await response.read()))
+
     def _usable_server(self, req: LendRequest) -> ServerView:
         """Returns the server.
 
@@ -167,9 +201,6 @@
             raise LenderRefusedError(LenderRefusal.DRAINING)
         if self._paths.should_borrow(view.entry.service):
             raise LenderRefusedError(LenderRefusal.CUT)
-        # Without this one, which is counted already.
-        if not may_lend(lent=self._lent - 1, own=self._count_own()):
-            raise LenderRefusedError(LenderRefusal.NO_ROOM)
         if req.call.client_account and not self._config.is_fresh():
             raise LenderRefusedError(LenderRefusal.KEYS_UNCONFIRMED)
         return view
--- a/endivespindle/runtime/path_messages.py
+++ b/endivespindle/runtime/path_messages.py
@@ -57,8 +57,8 @@
         server: Name of the server.
         started_ms: Its incarnation.
         call: The request.
-        timeout_s: Seconds for the complete exchange; None if the sender ends it
-            by closing the connection.
+        timeout_s: Seconds for the complete exchange; None for an item of a
+            batch job, which the sender ends by closing the connection.
     """
 
     sender: str
--- a/endivespindle/serving/path_lenders.py
+++ b/endivespindle/serving/path_lenders.py
@@ -7,13 +7,11 @@
 
 from endivespindle.core.clock import Clock
 
-__all__ = ["LenderChoice", "LenderRefusal", "may_lend"]
+__all__ = ["LenderChoice", "LenderRefusal"]
 
 # VMs that are used at a time: enough to spread the load, and few enough that
 # their connections are used again.
 _MAX_IN_USE = 4
-# Requests that a VM lends its path to at once although it has few callers.
-_MIN_LENT = 8
 
 
 class LenderRefusal(enum.StrEnum):
@@ -115,16 +113,3 @@
         """
         if vm not in self._in_use:
             self.record_refused(vm, LenderRefusal.CUT)
-
-
-def may_lend(*, lent: int, own: int) -> bool:
-    """Returns whether a VM passes one more request on for another VM.
-
-    The requests of its own callers come first: those of others take at most as
-    much as these, and a little on an idle VM.
-
-    Args:
-        lent: Requests that it passes on for other VMs now.
-        own: Requests of its own callers in progress.
-    """
-    return lent < max(_MIN_LENT, own)
