Probe servers as soon as nothing arrives from any of them

The other services are probed at the same time. A probe that reaches a server is followed by a pause of a second, so that overloaded servers cost at most a connection a second.

PathProber takes over the probes of BorrowingServerApi. The patterns are replayed without a network in test_server_paths.py; none of the decisions existed before.

--- a/endivespindle/runtime/borrowed_path.py
+++ b/endivespindle/runtime/borrowed_path.py
@@ -1,9 +1,8 @@
 """Reaches backend servers through other gateways while this one is cut off."""
 
-import asyncio
 import contextlib
 import math
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 
 import aiohttp
 import msgspec
@@ -31,6 +30,7 @@
     LendRequest,
     encode_request,
 )
+from endivespindle.runtime.path_probing import PathProber
 from endivespindle.runtime.settings import NodeRole
 from endivespindle.schema.generated.caller import RunState
 from endivespindle.serving.calls import (
@@ -42,15 +42,11 @@
     StreamEvent,
     VersionOrder,
 )
-from endivespindle.serving.directory import ServerDirectory
 from endivespindle.serving.path_lenders import LenderChoice, LenderRefusal
 from endivespindle.serving.server_entry import ServerEntry
 from endivespindle.serving.server_paths import ServerPaths
 
-__all__ = [
-    "BorrowingServerApi",
-    "connect_to_server",
-]
+__all__ = ["BorrowingServerApi"]
 
 # Gateways that are asked for one attempt, one after the other, as long as each
 # says that the request was not run, and those of them that may have tried: if
@@ -63,11 +59,6 @@
 _CONNECT_TIMEOUT_S = 0.3
 # A reply without a byte for this long is lost; see the same bound of responses.
 _SILENCE_TIMEOUT_S = 4.0
-# Interval of the probes that find out whether the path is back, and the time
-# within which a server must accept a connection.
-_MIN_PROBE_INTERVAL_S = 0.4
-_MAX_PROBE_INTERVAL_S = 0.8
-_PROBE_TIMEOUT_S = 0.3
 
 
 class BorrowingServerApi(ServerApi):
@@ -81,19 +72,16 @@
         ctx: State shared by the components of the node.
         direct: Client that records its outcomes in `paths`.
         paths: Whether servers are reached directly.
-        directory: Known backend servers.
+        prober: Finds out whether the path is cut, and when it is back.
         session: HTTP session for calls to other nodes.
-        connect: Returns whether a server accepts a connection in a time.
     """
 
     __slots__ = (
-        "_connect",
         "_ctx",
         "_direct",
-        "_directory",
         "_lenders",
         "_paths",
-        "_probes",
+        "_prober",
         "_session",
     )
 
@@ -103,18 +91,15 @@
         ctx: RuntimeContext,
         direct: MonitoredServerApi,
         paths: ServerPaths,
-        directory: ServerDirectory,
+        prober: PathProber,
         session: aiohttp.ClientSession,
-        connect: Callable[[ServerEntry, float], Awaitable[bool]],
     ):
         self._ctx = ctx
         self._direct = direct
         self._paths = paths
-        self._directory = directory
+        self._prober = prober
         self._session = session
-        self._connect = connect
         self._lenders = LenderChoice(clock=ctx.clock, rng=ctx.rng)
-        self._probes: dict[str, asyncio.Task[None]] = {}
 
     @contextlib.asynccontextmanager
     async def send(
@@ -140,9 +125,7 @@
 
     async def close(self) -> None:
         """Ends the probes."""
-        for task in self._probes.values():
-            task.cancel()
-        await asyncio.gather(*self._probes.values(), return_exceptions=True)
+        await self._prober.close()
 
     async def _open(
         self,
@@ -153,6 +136,7 @@
         timeout_s: float | None,
     ) -> ServerResponse:
         service = server.service
+        self._prober.watch(service)
         if not self._paths.should_borrow(service):
             try:
                 return await stack.enter_async_context(
@@ -163,7 +147,6 @@
                     raise
                 if not self._paths.may_borrow(service):
                     raise
-        self._start_probe(service)
         return await self._open_borrowed(
             stack, server, call, timeout_s=timeout_s
         )
@@ -276,27 +259,6 @@
             else:
                 resp.close()
 
-    def _start_probe(self, service: str) -> None:
-        task = self._probes.get(service)
-        if task is None or task.done():
-            self._probes[service] = asyncio.create_task(self._probe(service))
-
-    async def _probe(self, service: str) -> None:
-        """Connects to servers until one accepts while the path is cut.
-
-        Each VM returns to its own path by itself, at a moment of its own.
-        """
-        rng = self._ctx.rng
-        while self._paths.should_borrow(service):
-            await asyncio.sleep(
-                rng.uniform(_MIN_PROBE_INTERVAL_S, _MAX_PROBE_INTERVAL_S)
-            )
-            views = self._directory.available_servers(service)
-            if views and await self._connect(
-                rng.choice(views).entry, _PROBE_TIMEOUT_S
-            ):
-                self._paths.record_reached(service)
-
 
 class _BorrowedResponse(ServerResponse):
     """A response that another gateway passes on."""
@@ -372,15 +334,3 @@
             if isinstance(frame, FailureFrame):
                 raise frame.error()
             yield frame
-
-
-async def connect_to_server(server: ServerEntry, timeout_s: float) -> bool:
-    """Returns whether a server accepts a connection within a time."""
-    try:
-        async with asyncio.timeout(timeout_s):
-            _, writer = await asyncio.open_connection(server.host, server.port)
-    except (OSError, TimeoutError):
-        # Refused or silent: what the probe is to find out.
-        return False
-    writer.close()
-    return True
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -7,10 +7,7 @@
 
 from endivespindle.peers.tasks import end_tasks
 from endivespindle.platform.servers import PlatformServerApi
-from endivespindle.runtime.borrowed_path import (
-    BorrowingServerApi,
-    connect_to_server,
-)
+from endivespindle.runtime.borrowed_path import BorrowingServerApi
 from endivespindle.runtime.context import RuntimeContext
 from endivespindle.runtime.controller_reports import ControllerReports
 from endivespindle.runtime.forwarding import Forwarder
@@ -22,6 +19,7 @@
 from endivespindle.runtime.monitored_path import MonitoredServerApi
 from endivespindle.runtime.origin_exchange import SharedOrigins
 from endivespindle.runtime.path_messages import LEND_PATH
+from endivespindle.runtime.path_probing import PathProber, connect_to_server
 from endivespindle.runtime.peer_client import (
     EvidenceUpdate,
     PeerClient,
@@ -118,6 +116,7 @@
         "_lender",
         "_paths",
         "_peers",
+        "_prober",
         "_ready_runner",
         "_relay_selector",
         "_reports",
@@ -194,13 +193,19 @@
             ),
             paths=paths,
         )
+        self._prober = PathProber(
+            paths=paths,
+            directory=self._directory,
+            data_centre=settings.data_centre,
+            connect=connect_to_server,
+            rng=parts.rng,
+        )
         api = self._api = BorrowingServerApi(
             ctx=parts,
             direct=direct,
             paths=paths,
-            directory=self._directory,
+            prober=self._prober,
             session=peers.session,
-            connect=connect_to_server,
         )
         forwarder = Forwarder(
             api=api,
@@ -485,6 +490,9 @@
         )
 
     def _apply_path_change(self, service: str, state: PathState) -> None:
+        if state is PathState.SUSPECTED:
+            # The other services are likely to be cut off, too.
+            self._prober.probe_all()
         if state is PathState.CUT:
             # The failures so far were those of the path, not of the servers.
             self._directory.clear_pauses(service)
--- a/endivespindle/runtime/monitored_path.py
+++ b/endivespindle/runtime/monitored_path.py
@@ -1,7 +1,8 @@
 """Sends requests directly and records whether servers are reached."""
 
 import contextlib
-from collections.abc import AsyncIterator
+import functools
+from collections.abc import AsyncIterator, Callable
 
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import BackendServerError
@@ -12,6 +13,7 @@
     ServerCall,
     ServerReport,
     ServerResponse,
+    StreamEvent,
     VersionOrder,
 )
 from endivespindle.serving.server_entry import ServerEntry
@@ -59,7 +61,14 @@
                 self._paths.abandon(service, number)
                 raise
             self._paths.end(service, number, has_responded=True)
-            yield response
+            number = self._paths.begin_response(service)
+            try:
+                yield _MonitoredResponse(
+                    response=response,
+                    on_data=functools.partial(self._paths.record_data, service),
+                )
+            finally:
+                self._paths.end_response(service, number)
 
     async def report(
         self, server: ServerEntry, *, timeout_s: float
@@ -72,3 +81,33 @@
     ) -> OrderResponse:
         """Sends an order."""
         return await self._api.order_version(server, order, timeout_s=timeout_s)
+
+
+class _MonitoredResponse(ServerResponse):
+    """A response that tells when data arrives.
+
+    Args:
+        response: The response.
+        on_data: Called when an event or the whole body has arrived.
+    """
+
+    __slots__ = ("_on_data", "_response", "head")
+
+    def __init__(
+        self, *, response: ServerResponse, on_data: Callable[[], None]
+    ):
+        self.head = response.head
+        self._response = response
+        self._on_data = on_data
+
+    async def read(self) -> bytes:
+        """Returns the complete body."""
+        body = await self._response.read()
+        self._on_data()
+        return body
+
+    async def events(self) -> AsyncIterator[StreamEvent]:
+        """Yields the events of a stream as they arrive."""
+        async for event in self._response.events():
+            self._on_data()
+            yield event
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -481,6 +481,10 @@
         views = self._by_service.get(service, {}).values()
         return [view for view in views if view.accepts_requests()]
 
+    def services(self) -> list[str]:
+        """Returns the services that have servers."""
+        return [name for name, views in self._by_service.items() if views]
+
     def servers(self, service: str) -> list[ServerView]:
         """Returns all known servers of a service."""
         return list(self._by_service.get(service, {}).values())
--- a/endivespindle/serving/server_paths.py
+++ b/endivespindle/serving/server_paths.py
@@ -17,6 +17,13 @@
 # Time without a response head after which a running attempt counts: longer than
 # a load of weights takes while few servers load.
 _SILENT_S = 1.0
+# Time without a byte from any server, while a request or a response is in
+# progress, after which a server is probed: several times the interval of the
+# events of a stream and the time of a short request.
+_QUIET_S = 0.4
+# Pause after a probe that reached a server. Long requests are silent, too, and
+# each probe costs a connection.
+_PROBE_PAUSE_S = 1.0
 # Failed connections of other VMs after which the servers themselves count as
 # down, and the time for which no single attempt is borrowed then.
 _MAX_UNREACHED = 2
@@ -46,9 +53,17 @@
 
 
 class PathEvent(enum.StrEnum):
-    """What is learned about the path to the servers of a service."""
+    """What is learned about the path to the servers of a service.
+
+    Attributes:
+        SERVERS_SILENT: Several servers do not respond.
+        PROBES_FAIL: Several servers do not accept a connection.
+        PEER_REACHES: Another VM reached a server.
+        REACHED: A server accepted a connection of this VM.
+    """
 
     SERVERS_SILENT = "servers_silent"
+    PROBES_FAIL = "probes_fail"
     PEER_REACHES = "peer_reaches"
     REACHED = "reached"
 
@@ -56,7 +71,10 @@
 # Only a connection of this VM shows that its path is back. That no other VM
 # helps shows nothing: it may be cut off too, or have no room.
 _NEXT = {
-    PathState.DIRECT: {PathEvent.SERVERS_SILENT: PathState.SUSPECTED},
+    PathState.DIRECT: {
+        PathEvent.SERVERS_SILENT: PathState.SUSPECTED,
+        PathEvent.PROBES_FAIL: PathState.SUSPECTED,
+    },
     PathState.SUSPECTED: {
         PathEvent.PEER_REACHES: PathState.CUT,
         PathEvent.REACHED: PathState.DIRECT,
@@ -79,7 +97,11 @@
         failures: Monotonic time of the last failed attempt, by server.
         refusals: Monotonic time of the last refused connection, by server.
         pending: Server and start of each running attempt, by number.
+        responding: Start of each response in progress, by number.
         response_s: Monotonic time of the last response.
+        data_s: Monotonic time of the last data of a response.
+        probed_s: Monotonic time of the last probe.
+        is_probe_requested: Whether to probe although nothing is in progress.
         unreached: Attempts of other VMs that failed to connect since one
             succeeded.
         down_until_s: Monotonic time until which the servers count as down.
@@ -87,10 +109,14 @@
 
     __slots__ = (
         "cause",
+        "data_s",
         "down_until_s",
         "failures",
+        "is_probe_requested",
         "pending",
+        "probed_s",
         "refusals",
+        "responding",
         "response_s",
         "state",
         "unreached",
@@ -102,7 +128,11 @@
         self.failures: dict[str, float] = {}
         self.refusals: dict[str, float] = {}
         self.pending: dict[int, tuple[str, float]] = {}
+        self.responding: dict[int, float] = {}
         self.response_s = -math.inf
+        self.data_s = -math.inf
+        self.probed_s = -math.inf
+        self.is_probe_requested = False
         self.unreached = 0
         self.down_until_s = -math.inf
 
@@ -176,7 +206,7 @@
         server, start_s = path.pending.pop(number)
         now_s = self._clock.monotonic()
         if has_responded:
-            path.response_s = now_s
+            path.response_s = path.data_s = now_s
             path.failures.clear()
             return
         path.failures[server] = now_s
@@ -193,6 +223,63 @@
         if self._is_silent(path, start_s):
             path.failures[server] = self._clock.monotonic()
 
+    def begin_response(self, service: str) -> int:
+        """Records that the body of a response is read; returns its number."""
+        number = next(self._numbers)
+        self._path(service).responding[number] = self._clock.monotonic()
+        return number
+
+    def end_response(self, service: str, number: int) -> None:
+        """Records that a response is no longer read."""
+        del self._path(service).responding[number]
+
+    def record_data(self, service: str) -> None:
+        """Records that a part of a response arrived."""
+        self._path(service).data_s = self._clock.monotonic()
+
+    def is_watched(self, service: str) -> bool:
+        """Returns whether the path may turn out to be cut, or to be back."""
+        path = self._path(service)
+        return bool(
+            path.state is not PathState.DIRECT
+            or path.pending
+            or path.responding
+            or path.failures
+            or path.is_probe_requested
+        )
+
+    def request_probe(self, service: str) -> None:
+        """Asks for a probe, unless a server responded just now."""
+        path = self._path(service)
+        now_s = self._clock.monotonic()
+        path.is_probe_requested = now_s - path.data_s >= _QUIET_S
+
+    def should_probe(self, service: str) -> bool:
+        """Returns whether to find out if servers accept connections."""
+        path = self._path(service)
+        if path.state is not PathState.DIRECT or path.is_probe_requested:
+            return True
+        now_s = self._clock.monotonic()
+        if now_s - path.probed_s < _PROBE_PAUSE_S:
+            return False
+        starts_s = [start_s for _, start_s in path.pending.values()]
+        starts_s += path.responding.values()
+        since_s = max(path.data_s, min(starts_s, default=math.inf))
+        return bool(path.failures) or now_s - since_s >= _QUIET_S
+
+    def record_probe(self, service: str, *, has_reached: bool) -> None:
+        """Records whether one of several servers accepted a connection."""
+        path = self._path(service)
+        path.probed_s = self._clock.monotonic()
+        path.is_probe_requested = False
+        if not has_reached:
+            self._apply(service, PathEvent.PROBES_FAIL)
+            return
+        # Whatever failed or is silent, the path is not the reason.
+        path.failures.clear()
+        path.response_s = path.probed_s
+        self.record_reached(service)
+
     def state(self, service: str) -> PathState:
         """Returns how requests of a service are sent."""
         return self._path(service).state
--- a/endivespindle/serving/tests/test_server_paths.py
+++ b/endivespindle/serving/tests/test_server_paths.py
@@ -224,3 +224,69 @@
     for vm in ("good", "cut"):
         choice.record_unreached(vm)
     assert choice.choose(["good", "cut"], count=2) == ["good"]
+
+
+def _silent_cut(world, *, streams):
+    """Streams run for a second; then nothing arrives any more."""
+    for _ in range(streams):
+        world.paths.begin_response(SERVICE)
+    for _ in range(10):
+        assert not world.paths.should_probe(SERVICE)
+        world.paths.record_data(SERVICE)
+        world.clock.advance(0.1)
+
+
+def test_streams_that_all_fall_silent_are_probed_at_once():
+    """Pattern: a gateway runs a step when its packets are dropped."""
+    world = _World()
+    _silent_cut(world, streams=40)
+    world.clock.advance(0.4)
+    assert world.paths.should_probe(SERVICE)
+    world.paths.record_probe(SERVICE, has_reached=False)
+    assert world.is_borrowing()
+    assert world.changes == [PathState.SUSPECTED]
+    world.paths.record_probe(SERVICE, has_reached=True)
+    assert not world.is_borrowing()
+
+
+def test_one_request_without_a_response_is_enough_for_a_probe():
+    """Pattern: a gateway with a request a second, whose packets are dropped."""
+    world = _World()
+    world.attempt("s4", has_responded=True)
+    world.clock.advance(1.0)
+    world.paths.begin(SERVICE, "s1")
+    assert not world.paths.should_probe(SERVICE)
+    world.clock.advance(0.5)
+    assert world.paths.should_probe(SERVICE)
+
+
+def test_long_requests_are_probed_once_a_second_at_most():
+    """Pattern: all servers are overloaded and respond after seconds."""
+    world = _World()
+    for number in range(8):
+        world.paths.begin(SERVICE, f"s{number % 6}")
+    probes = 0
+    for _ in range(40):
+        if world.paths.should_probe(SERVICE):
+            probes += 1
+            world.paths.record_probe(SERVICE, has_reached=True)
+        assert not world.is_borrowing()
+        world.clock.advance(0.1)
+    assert probes <= 4
+
+
+def test_an_idle_vm_probes_if_another_service_is_cut():
+    world = _World()
+    assert not world.paths.is_watched(SERVICE)
+    world.paths.request_probe(SERVICE)
+    assert world.paths.is_watched(SERVICE)
+    assert world.paths.should_probe(SERVICE)
+    world.paths.record_probe(SERVICE, has_reached=False)
+    assert world.is_borrowing()
+
+
+def test_a_service_that_just_responded_is_not_probed():
+    world = _World()
+    world.attempt("s1", has_responded=True)
+    world.paths.request_probe(SERVICE)
+    assert not world.paths.should_probe(SERVICE)
--- a/tests/cut_gateways.py
+++ b/tests/cut_gateways.py
@@ -15,6 +15,7 @@
 from endivespindle.runtime.lent_path import PathLender
 from endivespindle.runtime.monitored_path import MonitoredServerApi
 from endivespindle.runtime.path_messages import LEND_PATH
+from endivespindle.runtime.path_probing import PathProber
 from endivespindle.runtime.peer_server import PeerServer
 from endivespindle.runtime.sessions import open_node_session
 from endivespindle.schema.generated.caller import RunState
@@ -130,9 +131,14 @@
             ctx=self.parts,
             direct=direct,
             paths=self.paths,
-            directory=self.directory,
+            prober=PathProber(
+                paths=self.paths,
+                directory=self.directory,
+                data_centre="a",
+                connect=self._connect,
+                rng=self.parts.rng,
+            ),
             session=self.session,
-            connect=self._connect,
         )
         self.own = 0
         self.lender = lender = PathLender(
