End attempts that hang once their path is lost

When a path is suspected, attempts that may be repeated and have received nothing for 0.2 s end as if the server had been silent, so that the caller or the job goes on through another gateway. Those that must not run twice wait on. test_attempts_in_progress_end_when_their_path_is_lost fails without the call (the streams run into their 8 s).

--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -110,6 +110,7 @@
         "_api",
         "_config",
         "_ctx",
+        "_direct",
         "_directory",
         "_ingress",
         "_jobs",
@@ -192,7 +193,9 @@
                 session=self._sessions[0], single_use=self._sessions[1]
             ),
             paths=paths,
+            clock=clock,
         )
+        self._direct = direct
         self._prober = PathProber(
             paths=paths,
             directory=self._directory,
@@ -490,7 +493,9 @@
         )
 
     def _apply_path_change(self, service: str, state: PathState) -> None:
+        ended = 0
         if state is PathState.SUSPECTED:
+            ended = self._direct.end_silent_attempts(service)
             # The other services are likely to be cut off, too.
             self._prober.probe_all()
         if state is PathState.CUT:
@@ -501,6 +506,7 @@
             service=service,
             state=state.value,
             cause=self._paths.cause(service),
+            ended_attempts=ended,
         )
         self._runner.wake()
 
--- a/tests/cut_gateways.py
+++ b/tests/cut_gateways.py
@@ -22,7 +22,7 @@
 from endivespindle.serving.active_config import ActiveConfig
 from endivespindle.serving.calls import ResponseHead, ServerApi, ServerCall
 from endivespindle.serving.directory import ServerDirectory
-from endivespindle.serving.server_paths import ServerPaths
+from endivespindle.serving.server_paths import PathState, ServerPaths
 from endivespindle.serving.tests.configs import config, server
 from endivespindle.store.object_store import StoredObject
 from tests.fleet_fakes import ScriptedAnswer, lost, node_parts
@@ -121,11 +121,13 @@
         self.paths = ServerPaths(
             clock=self.parts.clock,
             count_servers=lambda service: len(SERVERS),
-            on_change=lambda service, state: None,
+            on_change=self._on_change,
         )
         self.session = open_node_session()
-        direct = MonitoredServerApi(
-            api=CutServers(self.name, self.cut, world), paths=self.paths
+        self.direct = direct = MonitoredServerApi(
+            api=CutServers(self.name, self.cut, world),
+            paths=self.paths,
+            clock=self.parts.clock,
         )
         self.api = BorrowingServerApi(
             ctx=self.parts,
@@ -154,12 +156,23 @@
         )
         self.server.serve_stream(LEND_PATH, lender.handle)
 
+    def _on_change(self, service, state):
+        if state is PathState.SUSPECTED:
+            self.direct.end_silent_attempts(service)
+
     async def _connect(self, entry, timeout_s):
         del entry, timeout_s
         return not self.cut.how
 
     async def send(
-        self, name, request_id, *, account="", wait_s=5.0, is_item=False
+        self,
+        name,
+        request_id,
+        *,
+        account="",
+        wait_s=5.0,
+        is_item=False,
+        may_repeat=True,
     ):
         call = ServerCall(
             request_id=request_id,
@@ -170,6 +183,7 @@
             body=b"",
             client_account=account,
             deadline_s=wait_s,
+            may_repeat=may_repeat,
         )
         entry = self.directory.get(name).entry
         async with (
--- a/tests/test_borrowed_path.py
+++ b/tests/test_borrowed_path.py
@@ -17,8 +17,14 @@
 )
 from endivespindle.schema.generated.caller import RunState
 from endivespindle.serving.calls import StreamEvent
-from tests.cut_gateways import FIRST_PORT, EventAnswer, GatewayWorld, until
-from tests.fleet_fakes import lost
+from tests.cut_gateways import (
+    FIRST_PORT,
+    SERVERS,
+    EventAnswer,
+    GatewayWorld,
+    until,
+)
+from tests.fleet_fakes import Pause, lost
 
 
 def _play(story, *, gateways=3):
@@ -154,6 +160,37 @@
     _play(story, gateways=4)
 
 
+def test_attempts_in_progress_end_when_their_path_is_lost():
+    """Pattern: streams of a step hang on connections that drop packets."""
+
+    async def story(world, cut, *others):
+        events = (1, Pause(60.0), 2)
+        world.answer = lambda call: EventAnswer(events=events)
+        running = [
+            asyncio.create_task(cut.send(name, f"r-{name}", wait_s=8.0))
+            for name in SERVERS
+        ]
+        await asyncio.sleep(0.3)
+        await cut.become_cut("refuse")
+        outcomes = await asyncio.gather(*running, return_exceptions=True)
+        assert all(isinstance(exc, BackendServerError) for exc in outcomes)
+        assert {exc.ran for exc in outcomes} == {RunState.UNKNOWN}
+
+    _play(story)
+
+
+def test_an_attempt_that_must_not_repeat_keeps_waiting():
+    async def story(world, cut, *others):
+        world.run_s = 1.0
+        running = asyncio.create_task(cut.send("s0", "once", may_repeat=False))
+        await asyncio.sleep(0.3)
+        world.run_s = 0.0
+        await cut.become_cut("refuse")
+        assert await running == b"ok"
+
+    _play(story)
+
+
 def test_an_attempt_that_is_given_up_ends_at_the_server_too():
     async def story(world, cut, *others):
         await cut.become_cut("refuse")
