Hand jobs over while their owner is cut off from the servers

While only other gateways reach a service, the owner hands its open jobs of that service to one of those that passed requests on lately, by the same choice as for new jobs; texts go along as in a shutdown. Gateways to ask are kept for each service. test_a_step_whose_owner_is_cut_off_goes_to_a_node_that_reaches_ servers is new, as is what it tests.

--- a/endivespindle/runtime/borrowed_path.py
+++ b/endivespindle/runtime/borrowed_path.py
@@ -44,7 +44,7 @@
 )
 from endivespindle.serving.path_lenders import LenderChoice, LenderRefusal
 from endivespindle.serving.server_entry import ServerEntry
-from endivespindle.serving.server_paths import ServerPaths
+from endivespindle.serving.server_paths import PathState, ServerPaths
 
 __all__ = ["BorrowingServerApi"]
 
@@ -99,7 +99,7 @@
         self._paths = paths
         self._prober = prober
         self._session = session
-        self._lenders = LenderChoice(clock=ctx.clock, rng=ctx.rng)
+        self._lenders: dict[str, LenderChoice] = {}
 
     @contextlib.asynccontextmanager
     async def send(
@@ -123,6 +123,23 @@
             server, order, timeout_s=timeout_s
         )
 
+    def reaching_gateways(self, service: str) -> list[str]:
+        """Returns the gateways that reach a service while this one is cut.
+
+        Empty if this one reaches it, or if none is known to.
+        """
+        if self._paths.state(service) is not PathState.CUT:
+            return []
+        return self._lenders_of(service).reaching()
+
+    def _lenders_of(self, service: str) -> LenderChoice:
+        lenders = self._lenders.get(service)
+        if lenders is None:
+            lenders = self._lenders[service] = LenderChoice(
+                clock=self._ctx.clock, rng=self._ctx.rng
+            )
+        return lenders
+
     async def close(self) -> None:
         """Ends the probes."""
         await self._prober.close()
@@ -174,31 +191,32 @@
         )
         error: BackendServerError = LenderRefusedError(LenderRefusal.NONE_LEFT)
         tried = 0
-        for name in self._lenders.choose(peers, count=_MAX_ASKED):
+        lenders = self._lenders_of(server.service)
+        for name in lenders.choose(peers, count=_MAX_ASKED):
             try:
                 response = await stack.enter_async_context(
                     self._borrow(peers[name], server, call, timeout_s=timeout_s)
                 )
             except LenderRefusedError as exc:
                 error = exc
-                self._lenders.record_refused(name, exc.cause)
+                lenders.record_refused(name, exc.cause)
                 self._record(server, call, name, exc.cause)
                 continue
             except BackendServerError as exc:
                 error = exc
                 self._record(server, call, name, exc.reason.code)
                 if exc.ran is not RunState.NOT_RUN:
-                    self._lenders.record_refused(name, LenderRefusal.NO_REPLY)
+                    lenders.record_refused(name, LenderRefusal.NO_REPLY)
                     break
                 if exc.reason is not Reason.BACKEND_UNREACHABLE:
                     break
-                self._lenders.record_unreached(name)
+                lenders.record_unreached(name)
                 self._paths.record_borrowed(server.service, has_reached=False)
                 tried += 1
                 if tried >= _MAX_TRIED:
                     break
                 continue
-            self._lenders.record_reached(name)
+            lenders.record_reached(name)
             self._paths.record_borrowed(server.service, has_reached=True)
             self._record(server, call, name, "responded")
             return response
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -86,6 +86,9 @@
 # late.
 _JOB_RETENTION_FACTOR = 2.0
 _JOB_EXPIRY_INTERVAL_S = 10.0
+# Interval at which jobs are handed over while this VM is cut off from their
+# servers: one may be assigned to it meanwhile.
+_HAND_OVER_INTERVAL_S = 0.2
 # Idle connections of callers are closed after this time. The idle timeout of
 # the configuration has the same value in all known deployments, and connections
 # are not reopened to apply a change of it.
@@ -110,6 +113,7 @@
         "_api",
         "_config",
         "_ctx",
+        "_cut_off",
         "_direct",
         "_directory",
         "_ingress",
@@ -141,6 +145,7 @@
         self._store = store
         self._peers = peers
         self._tasks: list[asyncio.Task[None]] = []
+        self._cut_off = asyncio.Event()
         settings, clock = parts.settings, parts.clock
         self._config = ActiveConfig(
             clock=clock,
@@ -340,6 +345,7 @@
             self._runner.run(),
             self._reports.run(),
             self._expire_jobs(),
+            self._hand_over_unreached_jobs(),
         ):
             self._tasks.append(asyncio.create_task(coro))
         settings = ctx.settings
@@ -501,6 +507,7 @@
         if state is PathState.CUT:
             # The failures so far were those of the path, not of the servers.
             self._directory.clear_pauses(service)
+            self._cut_off.set()
         self._ctx.log.state_change(
             "server_path",
             service=service,
@@ -527,6 +534,17 @@
                 update.model, update.version, update.ready_s
             )
 
+    async def _hand_over_unreached_jobs(self) -> None:
+        """Hands jobs over while this VM is cut off from their servers."""
+        while True:
+            await self._cut_off.wait()
+            while self._paths.is_any_cut():
+                await self._jobs.hand_over_unreached(
+                    self._api.reaching_gateways
+                )
+                await asyncio.sleep(_HAND_OVER_INTERVAL_S)
+            self._cut_off.clear()
+
     async def _expire_jobs(self) -> None:
         """Removes jobs whose retention time has passed."""
         retention_s = _JOB_RETENTION_FACTOR * self._ctx.settings.timing.status_s
--- a/endivespindle/runtime/job_service.py
+++ b/endivespindle/runtime/job_service.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Coroutine
+from collections.abc import Callable, Collection, Coroutine
 from typing import Any
 
 import msgspec
@@ -261,25 +261,60 @@
         if not peers:
             return
         for index, job in enumerate(jobs):
-            peer = peers[index % len(peers)]
-            try:
-                await self._runner.hand_over(job, peer.owner_id)
-            except PlatformError as exc:
-                self._log.state_change(
-                    "job_not_handed_over", job_id=job.job_id, error=str(exc)
-                )
+            await self._hand_over(job, peers[index % len(peers)])
+
+    async def hand_over_unreached(
+        self, reaching: Callable[[str], Collection[str]]
+    ) -> None:
+        """Hands over open jobs whose servers only other nodes reach.
+
+        Load pattern: the owner of a step of some hundred items is cut off from
+        the servers. Other nodes pass single items on for it, but leave less
+        room than the servers have.
+
+        Args:
+            reaching: Returns the names of the nodes that are known to reach
+                the servers of a service while this one does not; empty if this
+                node does.
+        """
+        nodes = {n.name: n for n in self._fleet.peers(NodeRole.GATEWAY)}
+        for job in list(self._runner.jobs.values()):
+            sub = job.state.submission
+            names = [n for n in reaching(sub.service) if n in nodes]
+            if not names or not job.is_open or job.is_provisional:
                 continue
-            self._cache_owner(job.job_id, peer.owner_id)
-            update = JobOwnerUpdate(
+            owner = preferred_owner(
+                sub, {name: nodes[name].cpu for name in names}, default=names[0]
+            )
+            self._log.event(
+                "job_owner_cut_off",
                 job_id=job.job_id,
-                owner_id=peer.owner_id,
-                adopt=True,
-                owner_before=self._runner.owner_id,
+                service=sub.service,
+                owner=owner,
+                candidates=sorted(names),
             )
-            with contextlib.suppress(PeerError):
-                # If the update is lost, the peer takes the job over at the
-                # first request for it.
-                await self._peers.post(peer, "/jobs/news", update)
+            await self._hand_over(job, nodes[owner])
+
+    async def _hand_over(self, job: OwnedJob, peer: NodeRecord) -> None:
+        """Makes a peer the owner of an open job, and tells it."""
+        try:
+            await self._runner.hand_over(job, peer.owner_id)
+        except PlatformError as exc:
+            self._log.state_change(
+                "job_not_handed_over", job_id=job.job_id, error=str(exc)
+            )
+            return
+        self._cache_owner(job.job_id, peer.owner_id)
+        update = JobOwnerUpdate(
+            job_id=job.job_id,
+            owner_id=peer.owner_id,
+            adopt=True,
+            owner_before=self._runner.owner_id,
+        )
+        with contextlib.suppress(PeerError):
+            # If the update is lost, the peer takes the job over at the first
+            # request for it.
+            await self._peers.post(peer, "/jobs/news", update)
 
     def _choose_owner(self, submission: BatchSubmission) -> NodeRecord:
         """Returns the node that should own a new job."""
--- a/endivespindle/serving/path_lenders.py
+++ b/endivespindle/serving/path_lenders.py
@@ -91,6 +91,15 @@
             return [*first, *others][:count]
         return [*others, *self._in_use][:count]
 
+    def reaching(self) -> list[str]:
+        """Returns the VMs that reached a server and did not refuse since."""
+        now_s = self._clock.monotonic()
+        return [
+            vm
+            for vm in self._in_use
+            if self._paused_until_s.get(vm, 0.0) <= now_s
+        ]
+
     def record_reached(self, vm: str) -> None:
         """Records that a VM reached a server."""
         self._refusals.pop(vm, None)
--- a/endivespindle/serving/server_paths.py
+++ b/endivespindle/serving/server_paths.py
@@ -284,6 +284,10 @@
         """Returns how requests of a service are sent."""
         return self._path(service).state
 
+    def is_any_cut(self) -> bool:
+        """Returns whether only other VMs reach the servers of a service."""
+        return any(p.state is PathState.CUT for p in self._paths.values())
+
     def cause(self, service: str) -> PathEvent | None:
         """Returns what last changed how requests of a service are sent."""
         return self._path(service).cause
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -939,6 +939,36 @@
     _play(slow, story)
 
 
+def test_a_step_whose_owner_is_cut_off_goes_to_a_node_that_reaches_servers():
+    """Its texts go along; a node that reaches the servers keeps its jobs."""
+
+    async def story(world):
+        await world.submit([item(f"i{n}") for n in range(4)])
+        owner = world.owner()
+        others = [node for node in world.nodes if node is not owner]
+        reaching = others[-1].parts.fleet.local_node.name
+        await asyncio.sleep(1.3)
+        before = len(world.servers.sent)
+        await owner.service.hand_over_unreached(lambda service: [])
+        assert world.owner() is owner
+        await owner.service.hand_over_unreached(
+            lambda service: [reaching] if service == "engine" else []
+        )
+        await asyncio.sleep(0.05)
+        assert world.owner() is others[-1]
+        await asyncio.sleep(2.5)
+        resumed = [c.last_event_id for _, c in world.servers.sent[before:]]
+        assert set(resumed) == {"2"}
+        assert len((await world.read(others[0])).results) == 4
+
+    def slow(name, call):
+        del name
+        first = int(call.last_event_id or 0) + 1
+        return ScriptedAnswer(events=list(range(first, 4)), pause_s=0.6)
+
+    _play(slow, story, names=("n1", "n2", "n3", "n4"))
+
+
 def test_a_late_release_does_not_take_a_job_from_its_owner():
     """A cut held the message up while the job went away and came back."""
 
