Read odd entries of other writers as malformed, and keep the others

An entry nested 5,000 levels deep ended in RecursionError, and with it the page or batch of events that held it; a port of 5,000 digits in ValueError. Callers catch neither, so the watcher ended in silence. Ports of 0 and 99999, non-ASCII digits, negative or huge slots and start times were taken as they are, and connecting to such a port raises OverflowError.

decode_json and decode_msgpack raise DecodeError for deep nesting and bytes that are not UTF-8; all decoders of the service use them. A page with an entry that is nested too deeply is decoded without that entry's value, which makes it malformed. Server entries have bounds. Counts in headers, events, queries and items are parsed by one function, bounded to 18 ASCII digits: the same fault stood in five places, two of them within reach of callers.

--- a/endivespindle/backends/http_client.py
+++ b/endivespindle/backends/http_client.py
@@ -20,6 +20,7 @@
     ServiceResponse,
 )
 from endivespindle.backends.sessions import ConnectionCount
+from endivespindle.core.decoding import decode_json
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import BackendServerError
 from endivespindle.routing.stream_validator import StreamValidator
@@ -252,7 +253,7 @@
 
 def _decode(body: bytes, cls: type[T]) -> T:
     try:
-        return msgspec.json.decode(body, type=cls)
+        return decode_json(body, type=cls)
     except msgspec.DecodeError as exc:
         raise connection_lost_error(f"malformed response: {exc}") from exc
 
--- a/endivespindle/capacity/orders.py
+++ b/endivespindle/capacity/orders.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from endivespindle.core.decoding import decode_json
 from endivespindle.schema.generated.backend import CapacityOrder
 from endivespindle.schema.generated.stored import Intent
 
@@ -75,7 +76,7 @@
 
 
 def _reissue(intent: Intent, fencing_number: int) -> IntendedOrder:
-    order = msgspec.json.decode(intent.body, type=CapacityOrder)
+    order = decode_json(intent.body, type=CapacityOrder)
     return IntendedOrder(
         order=msgspec.structs.replace(order, fencing_number=fencing_number),
         intent=intent,
--- a/endivespindle/cli/placement.py
+++ b/endivespindle/cli/placement.py
@@ -8,6 +8,7 @@
 from rich import print as rich_print
 
 from endivespindle.cli.output import ExitCode, print_json
+from endivespindle.core.decoding import decode_msgpack
 from endivespindle.runtime.peer_client import PlacementQuestion
 from endivespindle.serving.placement_report import PlacementReport
 
@@ -63,7 +64,7 @@
     ):
         resp.raise_for_status()
         body = await resp.read()
-    return msgspec.msgpack.decode(body, type=PlacementReport)
+    return decode_msgpack(body, type=PlacementReport)
 
 
 def _print_report(report: PlacementReport) -> None:
--- a/endivespindle/cli/usage.py
+++ b/endivespindle/cli/usage.py
@@ -7,6 +7,7 @@
 
 from endivespindle.cli.output import ExitCode, print_findings, print_json
 from endivespindle.cli.platform_session import with_platform
+from endivespindle.core.decoding import decode_json
 from endivespindle.core.findings import Finding
 from endivespindle.exceptions import CheckError
 from endivespindle.node.receipts import read_receipts
@@ -36,7 +37,7 @@
         del cfg
         listed = await platform.list_objects(kind=FREEZE_KIND)
         freezes = [
-            msgspec.json.decode(obj.value or b"", type=WindowFreeze)
+            decode_json(obj.value or b"", type=WindowFreeze)
             for obj in listed.objects
         ]
         return [
@@ -78,7 +79,7 @@
         json: Print findings as JSON.
     """
     try:
-        reports = msgspec.json.decode(file.read_bytes(), type=list[UsageReport])
+        reports = decode_json(file.read_bytes(), type=list[UsageReport])
     except (OSError, msgspec.DecodeError) as exc:
         finding = Finding(place=str(file), message=str(exc))
         raise CheckError([finding]) from exc
--- /dev/null
+++ b/endivespindle/core/decoding.py
@@ -0,0 +1,71 @@
+"""Decoding of messages from other writers."""
+
+from typing import Any, TypeVar, overload
+
+import msgspec
+
+__all__ = ["decode_json", "decode_msgpack", "parse_count"]
+
+# Digits of a count that fits in 64 bits.
+_MAX_DIGITS = 18
+
+T = TypeVar("T")
+
+
+def parse_count(text: str) -> int | None:
+    """Parses a number of ASCII digits; None if it is malformed or too large.
+
+    Example:
+        >>> parse_count("12"), parse_count("²"), parse_count("9" * 5000)
+        (12, None, None)
+    """
+    if len(text) > _MAX_DIGITS or not text.isascii() or not text.isdecimal():
+        return None
+    return int(text)
+
+
+def decode_json(data: bytes | str, *, type: type[T]) -> T:
+    """Decodes a JSON document.
+
+    `msgspec` itself raises errors of other kinds for a document that is nested
+    too deeply or is not UTF-8.
+
+    Raises:
+        DecodeError: The document is malformed.
+
+    Example:
+        >>> decode_json(b"[1, 2]", type=list[int])
+        [1, 2]
+        >>> decode_json(b"[" * 5000, type=list)
+        Traceback (most recent call last):
+            ...
+        msgspec.DecodeError: nested too deeply
+    """
+    try:
+        return msgspec.json.decode(data, type=type)
+    except RecursionError as exc:
+        raise msgspec.DecodeError("nested too deeply") from exc
+    except UnicodeDecodeError as exc:
+        raise msgspec.DecodeError(str(exc)) from exc
+
+
+@overload
+def decode_msgpack(data: bytes, *, type: type[T]) -> T: ...
+
+
+@overload
+def decode_msgpack(data: bytes, *, type: Any) -> Any: ...
+
+
+def decode_msgpack(data: bytes, *, type: Any) -> Any:
+    """Decodes a MessagePack document.
+
+    Raises:
+        DecodeError: The document is malformed.
+    """
+    try:
+        return msgspec.msgpack.decode(data, type=type)
+    except RecursionError as exc:
+        raise msgspec.DecodeError("nested too deeply") from exc
+    except UnicodeDecodeError as exc:
+        raise msgspec.DecodeError(str(exc)) from exc
--- a/endivespindle/gateway/callers.py
+++ b/endivespindle/gateway/callers.py
@@ -6,6 +6,7 @@
 import msgspec
 from aiohttp import web
 
+from endivespindle.core.decoding import decode_json
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import RefusedError
 from endivespindle.node.context import NodeContext
@@ -136,7 +137,7 @@
         RefusedError: It is malformed.
     """
     try:
-        return msgspec.json.decode(body, type=cls)
+        return decode_json(body, type=cls)
     except msgspec.DecodeError as exc:
         raise RefusedError(Reason.MALFORMED, str(exc)) from exc
 
--- a/endivespindle/gateway/rollout.py
+++ b/endivespindle/gateway/rollout.py
@@ -4,10 +4,10 @@
 import contextlib
 from collections.abc import Iterator
 
-import msgspec
 from aiohttp import web
 
 from endivespindle.capacity.demand import DemandMeter
+from endivespindle.core.decoding import decode_json
 from endivespindle.core.reasons import Reason, RetryReason
 from endivespindle.exceptions import PlatformError, RefusedError
 from endivespindle.gateway.callers import decode_body, read_body, resolve_key
@@ -181,9 +181,7 @@
         samples = [
             DeliveredSample(
                 cursor=entry.cursor,
-                sample=msgspec.json.decode(
-                    by_cursor[entry.cursor], type=Sample
-                ),
+                sample=decode_json(by_cursor[entry.cursor], type=Sample),
             )
             for entry in result.entries
         ]
--- a/endivespindle/node/peer_sync.py
+++ b/endivespindle/node/peer_sync.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from endivespindle.core.decoding import decode_msgpack
 from endivespindle.exceptions import PeerError
 from endivespindle.membership.gossip import StateVersions
 from endivespindle.node.config_sync import ConfigSync
@@ -178,7 +179,7 @@
         for name in names[:_JOIN_ATTEMPTS]:
             try:
                 reply = await self.call(name, FetchMembers())
-                table = msgspec.msgpack.decode(reply.body, type=MemberTable)
+                table = decode_msgpack(reply.body, type=MemberTable)
             except (PeerError, msgspec.MsgspecError) as exc:
                 self._ctx.log.debug("join_failed", peer=name, error=str(exc))
                 continue
@@ -227,7 +228,7 @@
         asked_s = self._ctx.clock.monotonic()
         try:
             reply = await self.call(name, self._make_heartbeat(name))
-            heartbeat = msgspec.msgpack.decode(reply.body, type=Heartbeat)
+            heartbeat = decode_msgpack(reply.body, type=Heartbeat)
             if heartbeat.vm != name:
                 raise PeerError(f"{name}: replied as {heartbeat.vm}")
         except (PeerError, msgspec.MsgspecError) as exc:
@@ -289,7 +290,7 @@
         reply = await self.call(heartbeat.vm, req)
         if not reply.ok:
             return
-        newer = msgspec.msgpack.decode(reply.body, type=_RegisterRevision)
+        newer = decode_msgpack(reply.body, type=_RegisterRevision)
         if self._ctx.register.apply_if_newer(root=newer.root, body=newer.body):
             self._ctx.log.info(
                 "register_in_force",
@@ -305,7 +306,7 @@
         reply = await self.call(heartbeat.vm, req)
         if not reply.ok:
             return
-        table = msgspec.msgpack.decode(reply.body, type=KeyTableRoot)
+        table = decode_msgpack(reply.body, type=KeyTableRoot)
         if self._ctx.keys.apply_if_newer(table):
             self._ctx.log.info(
                 "keys_in_force", generation=table.generation, peer=heartbeat.vm
@@ -346,7 +347,7 @@
             return PeerReply(ok=False, reason="malformed", body=b"")
 
     async def _on_heartbeat(self, body: bytes) -> PeerReply:
-        heartbeat = msgspec.msgpack.decode(body, type=Heartbeat)
+        heartbeat = decode_msgpack(body, type=Heartbeat)
         if self._ctx.gossip.apply_heartbeat(
             heartbeat, local_versions=self._versions()
         ):
@@ -361,12 +362,12 @@
         return PeerReply(ok=True, body=reply)
 
     async def _on_fetch_members(self, body: bytes) -> PeerReply:
-        msgspec.msgpack.decode(body, type=FetchMembers)
+        decode_msgpack(body, type=FetchMembers)
         table = MemberTable(members=self._ctx.gossip.members())
         return PeerReply(ok=True, body=msgspec.msgpack.encode(table))
 
     async def _on_fetch_register(self, body: bytes) -> PeerReply:
-        req = msgspec.msgpack.decode(body, type=FetchRegister)
+        req = decode_msgpack(body, type=FetchRegister)
         register = self._ctx.register
         if register.root is None or register.revision < req.revision:
             return _MISSING
@@ -374,26 +375,26 @@
         return PeerReply(ok=True, body=msgspec.msgpack.encode(current))
 
     async def _on_fetch_keys(self, body: bytes) -> PeerReply:
-        req = msgspec.msgpack.decode(body, type=FetchKeys)
+        req = decode_msgpack(body, type=FetchKeys)
         if self._ctx.keys.generation < req.generation:
             return _MISSING
         table = msgspec.msgpack.encode(self._ctx.keys.root)
         return PeerReply(ok=True, body=table)
 
     async def _on_put_payload(self, body: bytes) -> PeerReply:
-        req = msgspec.msgpack.decode(body, type=PutPayload)
+        req = decode_msgpack(body, type=PutPayload)
         if not self._payloads.put(req.digest, req.payload):
             return PeerReply(ok=False, reason="refused", body=b"")
         return _OK
 
     async def _on_fetch_payload(self, body: bytes) -> PeerReply:
-        req = msgspec.msgpack.decode(body, type=FetchPayload)
+        req = decode_msgpack(body, type=FetchPayload)
         payload = self._payloads.get(req.digest)
         if payload is None:
             return _MISSING
         return PeerReply(ok=True, body=payload)
 
     async def _on_drop_payloads(self, body: bytes) -> PeerReply:
-        req = msgspec.msgpack.decode(body, type=DropPayloads)
+        req = decode_msgpack(body, type=DropPayloads)
         self._payloads.drop(req.digests)
         return _OK
--- a/endivespindle/node/receipts.py
+++ b/endivespindle/node/receipts.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from endivespindle.core.decoding import decode_json
 from endivespindle.schema.generated.stored import UsageReceipt
 from endivespindle.usage.receipts import ReceiptRecorder
 
@@ -57,7 +58,7 @@
 def read_receipts(folder: pathlib.Path) -> list[UsageReceipt]:
     """Returns the receipts of all files below a folder."""
     return [
-        msgspec.json.decode(line, type=UsageReceipt)
+        decode_json(line, type=UsageReceipt)
         for path in sorted(folder.rglob("*.jsonl"))
         for line in path.read_bytes().splitlines()
     ]
--- a/endivespindle/node/traces.py
+++ b/endivespindle/node/traces.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from endivespindle.core.clock import Clock
+from endivespindle.core.decoding import decode_msgpack
 from endivespindle.exceptions import PeerError
 from endivespindle.schema.generated.peer import (
     FetchStory,
@@ -112,7 +113,7 @@
 
     async def handle_request(self, body: bytes) -> PeerReply:
         """Answers a peer's request for the events of a trace."""
-        req = msgspec.msgpack.decode(body, type=FetchStory)
+        req = decode_msgpack(body, type=FetchStory)
         events = self._traces.find(req.id)
         return PeerReply(ok=True, body=msgspec.msgpack.encode(events))
 
@@ -139,6 +140,6 @@
         async with semaphore:
             try:
                 reply = await self._peers.call(peer, FetchStory(id=trace_id))
-                return msgspec.msgpack.decode(reply.body, type=list[StoryEvent])
+                return decode_msgpack(reply.body, type=list[StoryEvent])
             except (PeerError, msgspec.DecodeError):
                 return []
--- a/endivespindle/node/usage_role.py
+++ b/endivespindle/node/usage_role.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from endivespindle.core.decoding import decode_json
 from endivespindle.core.reasons import RetryReason
 from endivespindle.exceptions import (
     AnswerLostError,
@@ -222,7 +223,7 @@
         listed = await self._store.list_objects(kind=PART_KIND)
         self._closer.on_parts_listed(
             {
-                obj.name: msgspec.json.decode(obj.value, type=UsagePart)
+                obj.name: decode_json(obj.value, type=UsagePart)
                 for obj in listed.objects
                 if obj.value is not None
             }
--- a/endivespindle/peers/envelope.py
+++ b/endivespindle/peers/envelope.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from endivespindle.core.decoding import decode_msgpack
 from endivespindle.exceptions import MessageError
 from endivespindle.schema.generated.peer import Envelope
 
@@ -183,7 +184,7 @@
         if len(data) > self._max_bytes:
             raise MessageError("too_long")
         try:
-            envelope = msgspec.msgpack.decode(data, type=Envelope)
+            envelope = decode_msgpack(data, type=Envelope)
         except msgspec.MsgspecError as exc:
             raise MessageError("malformed") from exc
         if envelope.receiver != self._vm:
--- a/endivespindle/peers/transport.py
+++ b/endivespindle/peers/transport.py
@@ -9,6 +9,7 @@
 import pynng
 import structlog
 
+from endivespindle.core.decoding import decode_msgpack
 from endivespindle.exceptions import MessageError, PeerError
 from endivespindle.peers.envelope import EnvelopeOpener, EnvelopeSealer
 from endivespindle.peers.tasks import end_tasks
@@ -174,7 +175,7 @@
             envelope = self._opener.open(response, answers=request_id)
             if envelope.sender != self._peer:
                 raise MessageError("foreign")
-            return msgspec.msgpack.decode(envelope.body, type=PeerReply)
+            return decode_msgpack(envelope.body, type=PeerReply)
         except (TimeoutError, pynng.NNGException, MessageError) as exc:
             raise PeerError(f"{self._peer}: {exc!r}") from exc
         except msgspec.DecodeError as exc:
--- a/endivespindle/platform/documents.py
+++ b/endivespindle/platform/documents.py
@@ -1,9 +1,11 @@
 """Decodes the store objects of operators, trainers and backend servers."""
 
-from typing import TypeVar
+import re
+from typing import Annotated, TypeVar
 
 import msgspec
 
+from endivespindle.core.decoding import decode_json
 from endivespindle.exceptions import MessageError
 from endivespindle.serving.configuration import (
     AccountEntry,
@@ -76,9 +78,19 @@
     single_version: bool = False
 
 
+# Integers that other components store in 64 bits.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=2**20)]
+# Some thousand years.
+_Milliseconds = Annotated[float, msgspec.Meta(ge=-1e14, le=1e14)]
+# An IP address or a name, and a port.
+_ADDRESS = re.compile(r"([0-9A-Za-z.:\[\]-]+):([0-9]{1,5})")
+_MAX_PORT = 65_535
+
+
 class _Model(msgspec.Struct, rename="camel"):
     name: str
-    version: int = 1
+    version: _Count = 1
 
 
 class _Engine(msgspec.Struct, rename="camel"):
@@ -132,23 +144,25 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: _Slots
     state: str
     models: list[_Model] = []
     # Version of the server's software; that of the weights stands in `models`.
     version: str = ""
     spot: bool = False
     # Milliseconds; the only field that the platform spells in snake case.
-    leaves_ms: float | None = msgspec.field(default=None, name="leaves_ms")
+    leaves_ms: _Milliseconds | None = msgspec.field(
+        default=None, name="leaves_ms"
+    )
     # How much longer the server stays cold.
-    cold_left_ms: float = 0.0
+    cold_left_ms: _Milliseconds = 0.0
     # Start time of this incarnation in Unix milliseconds.
-    born: int = 0
+    born: _Count = 0
 
 
 class _Version(msgspec.Struct, rename="camel"):
     model: str
-    version: int
+    version: _Count
 
 
 def decode_config(value: bytes) -> FleetConfig:
@@ -187,16 +201,19 @@
         MessageError: The entry is malformed; treat the server as absent.
     """
     doc = _decode(value, _Server)
-    host, _, port = doc.address.rpartition(":")
-    if doc.state not in _DRAINING_BY_STATE or not host or not port.isdecimal():
+    match = _ADDRESS.fullmatch(doc.address)
+    if doc.state not in _DRAINING_BY_STATE or match is None:
         raise MessageError(f"server {name}: unknown state or malformed address")
+    host, port = match[1], int(match[2])
+    if not 0 < port <= _MAX_PORT:
+        raise MessageError(f"server {name}: port {port} is out of range")
     leaves_ms = doc.leaves_ms
     return ServerEntry(
         name=name,
         started_ms=doc.born,
         service=doc.service,
         host=host,
-        port=int(port),
+        port=port,
         data_centre=doc.zone,
         slots=doc.slots,
         draining=_DRAINING_BY_STATE[doc.state],
@@ -282,6 +299,6 @@
 
 def _decode(value: bytes, cls: type[T]) -> T:
     try:
-        return msgspec.json.decode(value, type=cls)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        return decode_json(value, type=cls)
+    except msgspec.MsgspecError as exc:
         raise MessageError(str(exc)) from exc
--- a/endivespindle/platform/event_stream.py
+++ b/endivespindle/platform/event_stream.py
@@ -1,5 +1,6 @@
 """Parser of server-sent events in a response body."""
 
+from endivespindle.core.decoding import parse_count
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import BackendServerError
 from endivespindle.platform.headers import parse_weight_version
@@ -64,7 +65,7 @@
         if name == "data":
             data.append(value)
         elif name == "id":
-            event_id = int(value) if value.isdecimal() else None
+            event_id = parse_count(value)
         elif name == "x-weight-versions":
             version = parse_weight_version(value)
     if event_id is None:
--- a/endivespindle/platform/headers.py
+++ b/endivespindle/platform/headers.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Mapping
 
 from endivespindle.backends.http_headers import end_to_end_headers
+from endivespindle.core.decoding import parse_count
 from endivespindle.runtime.request_metadata import RequestMetadata
 from endivespindle.serving.calls import ResponseHead, ServerCall, ServerLoad
 from endivespindle.serving.server_entry import ServerEntry
@@ -129,8 +130,7 @@
 
 def parse_weight_version(text: str | None) -> int | None:
     """Parses a weight version; None if it is missing or malformed."""
-    text = (text or "").strip()
-    return int(text) if text.isdecimal() else None
+    return parse_count((text or "").strip())
 
 
 def _parse_load(text: str | None) -> ServerLoad | None:
@@ -138,13 +138,12 @@
 
     The last figure is how long work takes there, where servers share VMs.
     """
-    parts = [part.strip() for part in (text or "").split(",")]
-    if len(parts) < 2 or not all(part.isdecimal() for part in parts):
+    counts = [parse_count(part.strip()) for part in (text or "").split(",")]
+    figures = [count for count in counts if count is not None]
+    if len(counts) < 2 or len(figures) < len(counts):
         return None
-    pace = int(parts[3]) / 100 if len(parts) > 3 else None
-    return ServerLoad(
-        running=int(parts[0]), waiting=int(parts[1]), pace=pace or None
-    )
+    pace = figures[3] / 100 if len(figures) > 3 else None
+    return ServerLoad(running=figures[0], waiting=figures[1], pace=pace or None)
 
 
 def _parse_limit(text: str | None) -> float | None:
--- a/endivespindle/platform/jobs.py
+++ b/endivespindle/platform/jobs.py
@@ -12,6 +12,7 @@
     BatchSubmission,
     RewardCall,
 )
+from endivespindle.core.decoding import decode_json, parse_count
 from endivespindle.exceptions import MessageError
 from endivespindle.serving.configuration import Route
 
@@ -90,9 +91,9 @@
         MessageError: The body is malformed.
     """
     try:
-        doc = msgspec.json.decode(body, type=_Submission)
+        doc = decode_json(body, type=_Submission)
         items = [_batch_item(item) for item in doc.items]
-    except (msgspec.MsgspecError, UnicodeDecodeError, binascii.Error) as exc:
+    except (msgspec.MsgspecError, binascii.Error) as exc:
         raise MessageError(str(exc)) from exc
     if len({item.item_id for item in items}) != len(items):
         raise MessageError("two items have the same id")
@@ -142,11 +143,11 @@
     headers = {name.lower(): value for name, value in doc.headers.items()}
     hint = headers.get(_LENGTH_HINT, "")
     # Parts of the prompt as ID:TOKENS; the last one is the item's own.
-    parts = [
-        int(tokens)
+    counts = [
+        parse_count(part.rpartition(":")[2].strip())
         for part in headers.get(_PROMPT_PARTS, "").split(",")
-        if (tokens := part.rpartition(":")[2].strip()).isdecimal()
     ]
+    parts = [count for count in counts if count is not None]
     reward_call = None
     if doc.scorer is not None:
         reward_call = RewardCall(
@@ -163,7 +164,7 @@
         tokens=doc.tokens,
         group=doc.group,
         score=reward_call,
-        hint=int(hint) if hint.isdecimal() else 0,
+        hint=parse_count(hint) or 0,
         prompt_tokens=sum(parts),
         own_prompt_tokens=parts[-1] if parts else 0,
     )
--- a/endivespindle/platform/objects.py
+++ b/endivespindle/platform/objects.py
@@ -5,12 +5,14 @@
 import aiohttp
 import msgspec
 
+from endivespindle.core.decoding import decode_json
 from endivespindle.exceptions import (
     AnswerLostError,
     ConflictError,
     PlatformError,
     PlatformUnavailableError,
 )
+from endivespindle.platform.nesting import replace_deep_values
 from endivespindle.store.object_store import (
     ObjectList,
     StatusStore,
@@ -60,6 +62,10 @@
     store_revision: int
 
 
+# Number of arrays and objects around an object's `spec` in a response.
+_SPEC_LEVELS: dict[type, int] = {_Object: 1, _Page: 3, _Events: 4}
+
+
 class PlatformObjectStore(StatusStore):
     """Client of the object API; stored values are the objects' `spec`.
 
@@ -233,7 +239,16 @@
 
 
 def _decode(body: bytes, cls: type[T]) -> T:
+    """Decodes a response.
+
+    Raises:
+        AnswerLostError: It is malformed.
+    """
+    try:
+        return decode_json(body, type=cls)
+    except msgspec.MsgspecError:
+        body = replace_deep_values(body, level=_SPEC_LEVELS[cls])
     try:
-        return msgspec.json.decode(body, type=cls)
+        return decode_json(body, type=cls)
     except msgspec.MsgspecError as exc:
         raise AnswerLostError(f"malformed response: {exc}") from exc
--- a/endivespindle/platform/servers.py
+++ b/endivespindle/platform/servers.py
@@ -17,6 +17,7 @@
     translate_send_errors,
 )
 from endivespindle.backends.sessions import ConnectionCount
+from endivespindle.core.decoding import decode_json
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import BackendServerError
 from endivespindle.platform.event_stream import EventStreamParser
@@ -142,7 +143,7 @@
                     f"report: status {resp.head.status}"
                 )
         try:
-            doc = msgspec.json.decode(body, type=_Report)
+            doc = decode_json(body, type=_Report)
         except msgspec.MsgspecError as exc:
             raise connection_lost_error(f"report: {exc}") from exc
         return ServerReport(
--- a/endivespindle/register/active_revision.py
+++ b/endivespindle/register/active_revision.py
@@ -1,7 +1,6 @@
 """The active register revision of one VM, which never decreases."""
 
-import msgspec
-
+from endivespindle.core.decoding import decode_json
 from endivespindle.core.digests import sha256_hex
 from endivespindle.register.view import RegisterView
 from endivespindle.schema.generated.register import Register
@@ -45,7 +44,7 @@
             return False
         if sha256_hex(body) != root.digest:
             return False
-        register = msgspec.json.decode(body, type=Register)
+        register = decode_json(body, type=Register)
         self.view = RegisterView(register=register, revision=root.revision)
         self.root = root
         self.body = body
--- a/endivespindle/report/entries.py
+++ b/endivespindle/report/entries.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from endivespindle.core.decoding import decode_json
+
 __all__ = [
     "Cost",
     "JournalContents",
@@ -104,7 +106,7 @@
         if path.suffix != ".json":
             continue
         try:
-            entry = msgspec.json.decode(path.read_bytes(), type=RunEntry)
+            entry = decode_json(path.read_bytes(), type=RunEntry)
         except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
             rejected.append(RejectedEntry(path=path.name, reason=str(exc)))
             continue
--- a/endivespindle/report/soak.py
+++ b/endivespindle/report/soak.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from endivespindle.core.decoding import decode_json
 from endivespindle.report.entries import RejectedEntry
 
 __all__ = ["SeedResult", "SoakSummary", "read_results", "summarize_soak"]
@@ -59,7 +60,7 @@
     rejected: list[RejectedEntry] = []
     for number, line in enumerate(path.read_bytes().splitlines(), start=1):
         try:
-            results.append(msgspec.json.decode(line, type=SeedResult))
+            results.append(decode_json(line, type=SeedResult))
         except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
             place = f"{path.name}:{number}"
             rejected.append(RejectedEntry(path=place, reason=str(exc)))
--- a/endivespindle/runtime/fleet_view.py
+++ b/endivespindle/runtime/fleet_view.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from endivespindle.core.decoding import decode_json
 from endivespindle.exceptions import PlatformError
 from endivespindle.runtime.settings import Endpoint, NodeRole, NodeSettings
 from endivespindle.store.object_store import ObjectStore, StoredObject
@@ -99,9 +100,7 @@
         if obj.value is None:
             return
         try:
-            self._nodes[obj.name] = msgspec.json.decode(
-                obj.value, type=NodeRecord
-            )
+            self._nodes[obj.name] = decode_json(obj.value, type=NodeRecord)
         except msgspec.MsgspecError as exc:
             raise PlatformError(f"record of node {obj.name}: {exc}") from exc
 
--- a/endivespindle/runtime/ingress.py
+++ b/endivespindle/runtime/ingress.py
@@ -11,6 +11,7 @@
 
 from endivespindle.batch.submission import BatchSubmission
 from endivespindle.core.clock import Clock
+from endivespindle.core.decoding import parse_count
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import MessageError, RefusedError
 from endivespindle.platform.headers import (
@@ -360,9 +361,10 @@
 
 
 def _parse_position(text: str) -> int:
-    if not text.isdecimal():
+    position = parse_count(text)
+    if position is None:
         raise RefusedError(Reason.MALFORMED, "the position is no number")
-    return int(text)
+    return position
 
 
 def _refusal_response(
--- a/endivespindle/runtime/job_store.py
+++ b/endivespindle/runtime/job_store.py
@@ -6,6 +6,7 @@
 
 from endivespindle.batch.progress import ItemResult, JobProgress, ResultPart
 from endivespindle.batch.submission import BatchItem, BatchSubmission
+from endivespindle.core.decoding import decode_json
 from endivespindle.core.ids import IdSource
 from endivespindle.exceptions import (
     AnswerLostError,
@@ -244,7 +245,7 @@
         record = await self._store.get(kind=_JOB_KIND, name=job_id)
         parts = [ref.name for ref in stored.progress.parts]
         if record is not None and record.value is not None:
-            job_record = msgspec.json.decode(record.value, type=_JobRecord)
+            job_record = decode_json(record.value, type=_JobRecord)
             parts += job_record.item_parts
         names = [(_PART_KIND, name) for name in parts]
         names += [(_PROGRESS_KIND, job_id), (_JOB_KIND, job_id)]
--- a/endivespindle/runtime/lent_path.py
+++ b/endivespindle/runtime/lent_path.py
@@ -4,9 +4,9 @@
 import contextlib
 from collections.abc import Awaitable, Callable, Iterator
 
-import msgspec
 from aiohttp import web
 
+from endivespindle.core.decoding import decode_msgpack
 from endivespindle.exceptions import BackendServerError
 from endivespindle.runtime.attempts import open_attempt
 from endivespindle.runtime.context import RuntimeContext
@@ -88,7 +88,7 @@
         Raises:
             MsgspecError: The message is malformed.
         """
-        req = msgspec.msgpack.decode(body, type=LendRequest)
+        req = decode_msgpack(body, type=LendRequest)
         resp = web.StreamResponse()
         await resp.prepare(request)
         task = asyncio.create_task(self._lend(req, resp))
--- a/endivespindle/runtime/log_trace.py
+++ b/endivespindle/runtime/log_trace.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from endivespindle.core.decoding import decode_json
+
 __all__ = ["LogLine", "parse_log", "trace_lines"]
 
 # Time before and after a request within which events of its nodes and servers
@@ -60,7 +62,7 @@
         if start < 0:
             continue
         try:
-            doc = msgspec.json.decode(line[start:])
+            doc = decode_json(line[start:], type=dict)
             at = datetime.datetime.fromisoformat(doc.pop("timestamp"))
             event = doc.pop("event")
         except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
--- a/endivespindle/runtime/origin_exchange.py
+++ b/endivespindle/runtime/origin_exchange.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from endivespindle.core.decoding import decode_msgpack
 from endivespindle.core.digests import rendezvous_rank
 from endivespindle.exceptions import PeerError
 from endivespindle.runtime.fleet_view import FleetView, NodeRecord
@@ -144,7 +145,7 @@
                 StreamOrigin(request_id=request_id),
                 timeout_s=_TIMEOUT_S,
             )
-            return msgspec.msgpack.decode(body, type=StreamOrigin).software
+            return decode_msgpack(body, type=StreamOrigin).software
         except (PeerError, msgspec.MsgspecError) as exc:
             self._log.event(
                 "stream_origin_not_found",
--- a/endivespindle/runtime/peer_client.py
+++ b/endivespindle/runtime/peer_client.py
@@ -10,6 +10,7 @@
 from endivespindle.batch.partial_completions import ItemSnapshot
 from endivespindle.batch.progress import ItemResult
 from endivespindle.controller.usage_windows import NodeUsageCounts
+from endivespindle.core.decoding import decode_msgpack
 from endivespindle.exceptions import PeerError
 from endivespindle.runtime.fleet_view import NodeRecord
 from endivespindle.serving.evidence_exchange import EvidenceMessage
@@ -300,6 +301,6 @@
 
 def _decode_reply(body: bytes, reply_type: type[_T], node: NodeRecord) -> _T:
     try:
-        return msgspec.msgpack.decode(body, type=reply_type)
+        return decode_msgpack(body, type=reply_type)
     except msgspec.MsgspecError as exc:
         raise PeerError(f"{node.name}: {exc}") from exc
--- a/endivespindle/runtime/peer_server.py
+++ b/endivespindle/runtime/peer_server.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from endivespindle.batch.submission import BatchSubmission
+from endivespindle.core.decoding import decode_msgpack
 from endivespindle.runtime.peer_client import (
     EvidenceUpdate,
     GatewayUpdate,
@@ -262,4 +263,4 @@
 
 
 def _decode(body: bytes, cls: type[T]) -> T:
-    return msgspec.msgpack.decode(body, type=cls)
+    return decode_msgpack(body, type=cls)
--- a/endivespindle/runtime/relay.py
+++ b/endivespindle/runtime/relay.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from endivespindle.core.clock import Clock
+from endivespindle.core.decoding import decode_msgpack
 from endivespindle.exceptions import PeerError
 from endivespindle.runtime.fleet_view import NodeRecord
 from endivespindle.runtime.peer_client import PeerClient
@@ -411,9 +412,12 @@
             relay, "/relay", req, timeout_s=req.wait_s + _REPLY_MARGIN_S
         )
         try:
-            return msgspec.msgpack.decode(body, type=RelayReply | None)
+            reply: RelayReply | None = decode_msgpack(
+                body, type=RelayReply | None
+            )
         except msgspec.MsgspecError as exc:
             raise PeerError(f"{relay.name}: {exc}") from exc
+        return reply
 
     def _usable_relays(self) -> list[NodeRecord]:
         """Returns the relays to ask, in this order."""
--- a/endivespindle/runtime/store_proxy.py
+++ b/endivespindle/runtime/store_proxy.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from endivespindle.core.clock import Clock
+from endivespindle.core.decoding import decode_msgpack
 from endivespindle.exceptions import (
     AnswerLostError,
     ConflictError,
@@ -322,7 +323,7 @@
             body = await self._peers.post(
                 relay, "/store", op, timeout_s=_PROXY_TIMEOUT_S
             )
-            reply = msgspec.msgpack.decode(body, type=StoreReply)
+            reply = decode_msgpack(body, type=StoreReply)
         except (PeerError, msgspec.MsgspecError) as exc:
             raise AnswerLostError(f"{relay.name}: {exc}") from exc
         if reply.status is not StoreStatus.OK:
--- a/endivespindle/runtime/usage_reporter.py
+++ b/endivespindle/runtime/usage_reporter.py
@@ -13,6 +13,7 @@
     NodeUsageCounts,
     UsageAggregator,
 )
+from endivespindle.core.decoding import decode_json
 from endivespindle.exceptions import ConflictError, PlatformError
 from endivespindle.runtime.context import RuntimeContext
 from endivespindle.runtime.duty_lease import DUTY_CALL_TIMEOUT_S, DutyLease
@@ -101,7 +102,7 @@
             stored = await self._store.get(kind=_USAGE_REPORT_KIND, name=name)
             if stored is None or stored.value is None:
                 raise exc
-            return msgspec.json.decode(stored.value, type=UsageWindowReport)
+            return decode_json(stored.value, type=UsageWindowReport)
         return report
 
     async def _send_report(self, report: UsageWindowReport) -> None:
--- a/endivespindle/store/apply.py
+++ b/endivespindle/store/apply.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from endivespindle.core.decoding import decode_json
 from endivespindle.core.digests import canonical_json, sha256_hex
 from endivespindle.core.findings import Finding
 from endivespindle.core.ids import IdSource
@@ -106,7 +107,7 @@
     obj = await store.get(kind=REVISION_KIND, name=revision_name(root))
     if obj is None or obj.value is None:
         return None
-    return root, msgspec.json.decode(obj.value, type=Register)
+    return root, decode_json(obj.value, type=Register)
 
 
 async def _check_immutable_settings(
@@ -236,4 +237,4 @@
     obj = await store.get(kind=REVISION_KIND, name=revision_name(root))
     if obj is None or obj.value is None:
         return None
-    return msgspec.json.decode(obj.value, type=Register)
+    return decode_json(obj.value, type=Register)
--- a/endivespindle/store/http_client.py
+++ b/endivespindle/store/http_client.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from endivespindle.core.decoding import decode_json
 from endivespindle.exceptions import (
     AnswerLostError,
     ConflictError,
@@ -70,7 +71,7 @@
         _, _, body = await self._call(
             "GET", f"/v1/objects/{kind}", params={"prefix": prefix}
         )
-        return msgspec.json.decode(body, type=ObjectList)
+        return decode_json(body, type=ObjectList)
 
     async def put(
         self, *, kind: str, name: str, value: bytes, expect_version: int
@@ -104,7 +105,7 @@
             params={"after": str(after), "wait_s": str(wait_s)},
             timeout_s=wait_s + self._timeout_s,
         )
-        return msgspec.json.decode(body, type=WatchEvents)
+        return decode_json(body, type=WatchEvents)
 
     async def order(
         self, order: CapacityOrder, *, timeout_s: float
@@ -116,14 +117,14 @@
             data=msgspec.json.encode(order),
             timeout_s=timeout_s,
         )
-        return msgspec.json.decode(body, type=CapacityState)
+        return decode_json(body, type=CapacityState)
 
     async def state(self, *, data_centre: str, service: str) -> CapacityState:
         """Returns the ordered and the running capacity."""
         _, _, body = await self._call(
             "GET", f"/v1/capacity/{data_centre}/{service}"
         )
-        return msgspec.json.decode(body, type=CapacityState)
+        return decode_json(body, type=CapacityState)
 
     async def report(self, report: UsageReport, *, timeout_s: float) -> None:
         """Sends an immutable usage report."""
@@ -137,12 +138,12 @@
     async def list_vms(self) -> VmList:
         """Returns live and leaving VMs, as of some seconds ago."""
         _, _, body = await self._call("GET", "/v1/vms")
-        return msgspec.json.decode(body, type=VmList)
+        return decode_json(body, type=VmList)
 
     async def versions(self, *, trainer: str) -> list[int]:
         """Returns the versions published for a trainer, oldest first."""
         _, _, body = await self._call("GET", f"/v1/weights/{trainer}")
-        return msgspec.json.decode(body, type=list[int])
+        return decode_json(body, type=list[int])
 
     async def _call(
         self,
--- a/endivespindle/store/update.py
+++ b/endivespindle/store/update.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from endivespindle.core.decoding import decode_json
 from endivespindle.core.ids import IdSource
 from endivespindle.exceptions import (
     AnswerLostError,
@@ -41,7 +42,7 @@
     obj = await read(kind=kind, name=name)
     if obj is None or obj.value is None:
         return None, 0
-    return msgspec.json.decode(obj.value, type=cls), obj.version
+    return decode_json(obj.value, type=cls), obj.version
 
 
 async def update_object(
