Run background tasks again after an unexpected error

A watcher, the placement of items or the flush of results that ended by an error nobody caught stayed ended: the node went on with what it knew, and no line told of it. One object that could not be applied ended its watcher, and would end it again after each restart.

run_supervised logs the error and runs the task again; the tasks of gateways, controllers, nodes and jobs use it. A watcher logs an object that cannot be applied and goes on with the next.

--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Protocol
 
 from endivespindle.controller.operations import Operations
 from endivespindle.exceptions import PlatformError
@@ -50,6 +51,7 @@
     StoreStatus,
     serve_store_operation,
 )
+from endivespindle.runtime.supervision import run_supervised
 from endivespindle.runtime.usage_reporter import UsageReporter
 from endivespindle.runtime.weight_orders import WeightOrders
 from endivespindle.serving.active_config import ActiveConfig
@@ -86,6 +88,12 @@
 _EVACUATION_WAIT_SHARE = 0.3
 
 
+class _Duty(Protocol):
+    """A component with a loop of its own."""
+
+    async def run(self) -> None: ...
+
+
 class Controller:
     """Relays store watches, and runs the duties while it holds the lease.
 
@@ -212,12 +220,10 @@
         ctx = self._ctx
         interval_s = ctx.settings.timing.lease_s / _RENEWALS_PER_TERM
         duty_task: asyncio.Task[None] | None = None
-        watch_tasks = [
-            asyncio.create_task(w.run()) for w in self._relay_watchers()
-        ]
+        watch_tasks = [self._start(w) for w in self._relay_watchers()]
         watch_tasks += [
-            asyncio.create_task(self._quarantines.run()),
-            asyncio.create_task(self._software.run()),
+            self._start(self._quarantines),
+            self._start(self._software),
         ]
         try:
             while True:
@@ -239,7 +245,16 @@
                 await end_tasks([duty_task])
             await end_tasks(watch_tasks)
             await self._held_lease.release()
-            await self._session.close()
+
+    async def close(self) -> None:
+        """Closes the connections to backend servers."""
+        await self._session.close()
+
+    def _start(self, duty: _Duty) -> asyncio.Task[None]:
+        """Starts a watcher or a duty, which goes on after errors."""
+        return asyncio.create_task(
+            run_supervised(type(duty).__name__, duty.run, log=self._ctx.log)
+        )
 
     def _relay_watchers(self) -> list[KindWatcher]:
         """Returns watchers of the kinds that are relayed to gateways.
@@ -384,7 +399,7 @@
             self._weights,
             self._retirements,
         )
-        tasks = [asyncio.create_task(duty.run()) for duty in duties]
+        tasks = [self._start(duty) for duty in duties]
         try:
             await asyncio.gather(*tasks)
         finally:
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -1,6 +1,8 @@
 """Gateway role: serves the requests of callers."""
 
 import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import msgspec
 from aiohttp import web
@@ -41,6 +43,7 @@
 from endivespindle.runtime.software_store import StoredSoftwareProof
 from endivespindle.runtime.store_proxy import ProxiedStore
 from endivespindle.runtime.streaming import StreamRelay
+from endivespindle.runtime.supervision import run_supervised
 from endivespindle.runtime.usage_counter import UsageCounter
 from endivespindle.serving.active_config import ActiveConfig
 from endivespindle.serving.attempt_guard import AttemptGuard
@@ -338,16 +341,16 @@
             on_change=self._runner.wake,
         )
         self._watch_evacuations()
-        for coro in (
-            config.run(),
-            servers.run(),
-            nodes.run(),
-            self._runner.run(),
-            self._reports.run(),
-            self._expire_jobs(),
-            self._hand_over_unreached_jobs(),
+        for name, run in (
+            ("config_watcher", config.run),
+            ("server_watcher", servers.run),
+            ("node_watcher", nodes.run),
+            ("job_runner", self._runner.run),
+            ("controller_reports", self._reports.run),
+            ("job_expiry", self._expire_jobs),
+            ("job_handover", self._hand_over_unreached_jobs),
         ):
-            self._tasks.append(asyncio.create_task(coro))
+            self._start_task(name, run)
         settings = ctx.settings
         if settings.callers is None or settings.readiness is None:
             raise ValueError(
@@ -385,7 +388,14 @@
             wait_s=wait_s,
             on_change=self._runner.wake,
         )
-        self._tasks.append(asyncio.create_task(watcher.run()))
+        self._start_task("evacuation_watcher", watcher.run)
+
+    def _start_task(
+        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        self._tasks.append(
+            asyncio.create_task(run_supervised(name, run, log=self._ctx.log))
+        )
 
     def _relayed_store(
         self,
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import contextlib
+import functools
 import math
 import random
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
 import msgspec
@@ -25,6 +26,7 @@
 from endivespindle.runtime.job_store import JobStore, StoredJob
 from endivespindle.runtime.owned_job import OwnedJob
 from endivespindle.runtime.reward_calls import RewardCaller
+from endivespindle.runtime.supervision import run_supervised
 from endivespindle.runtime.telemetry import EventLog, NodeMetrics
 from endivespindle.serving.active_config import ActiveConfig
 from endivespindle.serving.calls import ServerApi
@@ -194,8 +196,13 @@
             job = self._open_job(stored, asked_s=asked_s, snapshots=snapshots)
         self.jobs[job.job_id] = job
         if job.is_open:
-            self._spawn(self._flush_results(job))
-            self._spawn(self._cancel_unconfirmed_requests(job))
+            self._spawn(
+                "result_flush", functools.partial(self._flush_results, job)
+            )
+            self._spawn(
+                "request_cancelling",
+                functools.partial(self._cancel_unconfirmed_requests, job),
+            )
         self.wake()
         return job
 
@@ -392,9 +399,11 @@
             state = state or prepared.state
         return snapshot_items(state) if state is not None else []
 
-    def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
+    def _spawn(
+        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
         """Starts a background task that returns once its job is not open."""
-        task = asyncio.create_task(coro)
+        task = asyncio.create_task(run_supervised(name, run, log=self._log))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/endivespindle/runtime/kind_watcher.py
+++ b/endivespindle/runtime/kind_watcher.py
@@ -124,7 +124,7 @@
         """
         if self._version is None:
             listed = await self._store.list_objects(kind=self._kind)
-            self._on_list(listed.objects)
+            self._apply_list(listed.objects)
             self._version = listed.version
             return listed
         events = await self._store.watch(
@@ -135,7 +135,37 @@
             self._version = None
             return await self._list_or_watch()
         for obj in events.objects:
-            self._on_change(obj)
+            self._apply_change(obj)
         # A relay may be behind a version already read from the store.
         self._version = max(self._version, events.version)
         return events
+
+    def _apply_list(self, objects: list[StoredObject]) -> None:
+        """Applies a list; if one object fails, the others still count."""
+        try:
+            self._on_list(objects)
+        # Any error: see `_apply_change`.
+        except Exception as exc:
+            self._log.state_change(
+                "list_not_applied", kind=self._kind, error=repr(exc)[:200]
+            )
+            for obj in objects:
+                self._apply_change(obj)
+
+    def _apply_change(self, obj: StoredObject) -> None:
+        """Applies a change.
+
+        An object that cannot be applied must not end the watch: it would be
+        read again, and nothing after it would be learned.
+        """
+        try:
+            self._on_change(obj)
+        # Any error, as other writers' objects may hold anything.
+        except Exception as exc:
+            self._log.state_change(
+                "object_not_applied",
+                kind=self._kind,
+                name=obj.name,
+                version=obj.version,
+                error=repr(exc)[:200],
+            )
--- a/endivespindle/runtime/node.py
+++ b/endivespindle/runtime/node.py
@@ -4,7 +4,7 @@
 import collections
 import random
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import aiohttp
@@ -25,6 +25,7 @@
     open_node_session,
 )
 from endivespindle.runtime.settings import NodeRole, NodeSettings
+from endivespindle.runtime.supervision import run_supervised
 from endivespindle.runtime.telemetry import configure_node_logs
 from endivespindle.store.call_limiter import CallLimiter
 from endivespindle.store.circuit_breaker import CircuitBreaker
@@ -144,15 +145,17 @@
         if self._gateway is not None:
             await self._gateway.start()
         if self._controller is not None:
-            self._spawn(self._controller.run())
-        self._spawn(self._register())
-        self._spawn(self._log_platform_calls())
+            self._spawn(self._controller.run)
+        self._spawn(self._register)
+        self._spawn(self._log_platform_calls)
 
     async def stop(self) -> None:
         """Stops all components."""
         if self._gateway is not None:
             await self._gateway.stop()
         await end_tasks(self._tasks)
+        if self._controller is not None:
+            await self._controller.close()
         await self._peer_server.stop()
         for session in self._sessions:
             await session.close()
@@ -193,5 +196,9 @@
                     calls=dict(recent),
                 )
 
-    def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(coro))
+    def _spawn(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        self._tasks.append(
+            asyncio.create_task(
+                run_supervised(run.__qualname__, run, log=self._ctx.log)
+            )
+        )
--- a/endivespindle/runtime/shared_watchers.py
+++ b/endivespindle/runtime/shared_watchers.py
@@ -298,12 +298,12 @@
     """Returns handlers that also forward every event to a relay's feed."""
 
     def on_list(objects: list[StoredObject]) -> None:
-        handlers.on_list(objects)
         feed.replace_all(objects)
+        handlers.on_list(objects)
 
     def on_change(obj: StoredObject) -> None:
-        handlers.on_change(obj)
         feed.apply(obj)
+        handlers.on_change(obj)
 
     def on_confirmed(version: int, asked_s: float) -> None:
         if handlers.on_confirmed is not None:
