Do not blame servers for the failures of a lost path

Failures of requests sent before the path was suspected, and refusals of lenders, do not count for a server. Both tests fail on the code before.

--- a/endivespindle/exceptions.py
+++ b/endivespindle/exceptions.py
@@ -98,8 +98,11 @@
     Attributes:
         ran: Whether the call ran on the backend server.
         reason: Reason code.
+        is_server_failure: Whether it tells anything of the server.
     """
 
+    is_server_failure = True
+
     def __init__(self, message: str, *, ran: RunState, reason: Reason):
         super().__init__(message)
         self.ran = ran
--- a/endivespindle/runtime/attempts.py
+++ b/endivespindle/runtime/attempts.py
@@ -89,11 +89,13 @@
             yield response
             if not response.head.not_run:
                 duration_s = clock.monotonic() - start_s
-    except BackendServerError:
-        failed = True
+    except BackendServerError as exc:
+        failed = exc.is_server_failure
         raise
     finally:
-        view.end_request(failed=failed, duration_s=duration_s)
+        view.end_request(
+            failed=failed, duration_s=duration_s, started_s=start_s
+        )
 
 
 class AttemptSummary:
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -514,9 +514,9 @@
             ended = self._direct.end_silent_attempts(service)
             # The other services are likely to be cut off, too.
             self._prober.probe_all()
+        if state is not PathState.DIRECT:
+            self._directory.excuse_failures(service)
         if state is PathState.CUT:
-            # The failures so far were those of the path, not of the servers.
-            self._directory.clear_pauses(service)
             self._cut_off.set()
         self._ctx.log.state_change(
             "server_path",
--- a/endivespindle/runtime/path_messages.py
+++ b/endivespindle/runtime/path_messages.py
@@ -40,6 +40,8 @@
         cause: Why it did not.
     """
 
+    is_server_failure = False
+
     def __init__(self, cause: LenderRefusal, message: str = ""):
         super().__init__(
             message or f"another gateway refused: {cause}",
--- a/endivespindle/serving/directory.py
+++ b/endivespindle/serving/directory.py
@@ -86,6 +86,7 @@
         "_pace_seen_s",
         "_other_load",
         "_other_load_seen_s",
+        "_path_lost_s",
         "_paused_until_s",
         "_peer_loads",
         "availability",
@@ -129,6 +130,7 @@
         self._pace_seen_s = -math.inf
         self._other_load = 0.0
         self._other_load_seen_s = -math.inf
+        self._path_lost_s = -math.inf
         self._paused_until_s = -math.inf
         self._peer_loads: dict[str, int] = {}
         self.entry = entry
@@ -205,15 +207,22 @@
         self._connections.record_request(self.in_flight)
 
     def end_request(
-        self, *, failed: bool, duration_s: float | None = None
+        self,
+        *,
+        failed: bool,
+        duration_s: float | None = None,
+        started_s: float = math.inf,
     ) -> None:
         """Records that a request has ended.
 
         Args:
             failed: Whether the server failed it or could not be reached.
             duration_s: Seconds it took; None to leave it out of the average.
+            started_s: Monotonic time at which it was sent.
         """
         self.in_flight -= 1
+        if failed and started_s <= self._path_lost_s:
+            return
         self.failure_rate += _SMOOTHING * (failed - self.failure_rate)
         if duration_s is not None:
             duration_s /= self.pace()
@@ -238,8 +247,12 @@
         until_s = self._clock.monotonic() + seconds
         self._paused_until_s = max(self._paused_until_s, until_s)
 
-    def clear_pause(self) -> None:
-        """Ends the pause after failures, and forgets these."""
+    def excuse_failures(self) -> None:
+        """Ends the pause after failures, as the path turned out to be lost.
+
+        Those of requests sent until now do not count either.
+        """
+        self._path_lost_s = self._clock.monotonic()
         self._paused_until_s = -math.inf
         self._consecutive_failures = 0
         self.failure_rate = 0.0
@@ -451,13 +464,15 @@
             seen_s[view.entry.software] = self._clock.monotonic()
             self._by_service[view.entry.service].pop(name, None)
 
-    def clear_pauses(self, service: str) -> None:
-        """Uses servers again that are paused after failures.
+    def excuse_failures(self, service: str) -> None:
+        """Uses servers again whose failures turn out to be those of the path.
 
-        Called when the failures turn out to be those of the path.
+        Load pattern: the owner of a step loses the path to all servers. If each
+        of its requests paused a server, none would be sent through other VMs
+        either.
         """
         for view in self._by_service.get(service, {}).values():
-            view.clear_pause()
+            view.excuse_failures()
 
     def evacuated_data_centres(self) -> frozenset[str]:
         """Returns the data centres to whose servers nothing is sent."""
--- a/endivespindle/serving/tests/test_directory.py
+++ b/endivespindle/serving/tests/test_directory.py
@@ -145,3 +145,25 @@
     view.begin_request()
     view.end_request(failed=False, duration_s=0.03)
     assert retry_after_s([view], rng=random.Random(1)) <= 0.1
+
+
+def test_requests_that_fail_as_their_path_is_lost_do_not_pause_a_server():
+    """Pattern: 80 streams of a step end at once when the path is cut."""
+    clock = ManualClock()
+    directory = ServerDirectory(clock=clock)
+    view = directory.put(server("s1"))
+    for _ in range(80):
+        view.begin_request()
+    started_s = clock.monotonic()
+    clock.advance(1.0)
+    view.record_silence()
+    assert view.is_paused()
+    directory.excuse_failures("plain")
+    for _ in range(80):
+        view.end_request(failed=True, started_s=started_s)
+    assert not view.is_paused()
+    assert view.in_flight == 0
+    clock.advance(0.1)
+    view.begin_request()
+    view.end_request(failed=True, started_s=clock.monotonic())
+    assert view.is_paused()
--- a/tests/test_borrowed_path.py
+++ b/tests/test_borrowed_path.py
@@ -9,6 +9,7 @@
 
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import BackendServerError
+from endivespindle.runtime.attempts import open_attempt
 from endivespindle.runtime.path_messages import (
     LEND_PATH,
     EventFrame,
@@ -16,7 +17,7 @@
     encode_frame,
 )
 from endivespindle.schema.generated.caller import RunState
-from endivespindle.serving.calls import StreamEvent
+from endivespindle.serving.calls import ServerCall, StreamEvent
 from tests.cut_gateways import (
     FIRST_PORT,
     SERVERS,
@@ -247,6 +248,30 @@
     _play(story, gateways=2)
 
 
+def test_a_refusal_to_lend_is_no_failure_of_the_server():
+    async def story(world, cut, other):
+        await cut.become_cut("refuse")
+        other.lender.is_draining = True
+        view = cut.directory.get("s3")
+        call = ServerCall(
+            request_id="r",
+            method="GET",
+            target="/",
+            host="h",
+            headers=[],
+            body=b"",
+        )
+        for _ in range(5):
+            with pytest.raises(BackendServerError):
+                async with open_attempt(
+                    cut.api, view, call, clock=cut.parts.clock, timeout_s=1.0
+                ):
+                    pass
+        assert not view.is_paused()
+
+    _play(story, gateways=2)
+
+
 def test_a_gateway_that_shuts_down_takes_no_more_requests_in():
     async def story(world, cut, leaving, other):
         await cut.become_cut("refuse")
