--- a/endivespindle/serving/server_paths.py
+++ b/endivespindle/serving/server_paths.py
@@ -251,8 +251,7 @@
     def request_probe(self, service: str) -> None:
         """Asks for a probe, unless a server responded just now."""
         path = self._path(service)
-        now_s = self._clock.monotonic()
-        path.is_probe_requested = now_s - path.data_s >= _QUIET_S
+        path.is_probe_requested = not self._has_fresh_data(path)
 
     def should_probe(self, service: str) -> bool:
         """Returns whether to find out if servers accept connections."""
@@ -265,7 +264,7 @@
         starts_s = [start_s for _, start_s in path.pending.values()]
         starts_s += path.responding.values()
         since_s = max(path.data_s, min(starts_s, default=math.inf))
-        return bool(path.failures) or now_s - since_s >= _QUIET_S
+        return bool(self._failed(path)) or now_s - since_s >= _QUIET_S
 
     def record_probe(self, service: str, *, has_reached: bool) -> None:
         """Records whether one of several servers accepted a connection."""
@@ -352,6 +351,10 @@
             path.response_s = self._clock.monotonic()
         self._on_change(service, path.state)
 
+    def _has_fresh_data(self, path: _ServicePath) -> bool:
+        """Returns whether data arrived so lately that the path may be there."""
+        return self._clock.monotonic() - path.data_s < _QUIET_S
+
     def _are_near_among(self, service: str, servers: Set[str]) -> bool:
         """Returns whether servers of this data centre fail too, if any are."""
         near = self._near_servers(service)
@@ -363,9 +366,8 @@
     def _silent(self, path: _ServicePath) -> set[str]:
         """Returns the servers that failed or are silent since a response."""
         oldest_s = self._clock.monotonic() - _EVIDENCE_S
-        silent = {
-            server for server, at_s in path.failures.items() if at_s >= oldest_s
-        }
+        failed = self._failed(path)
+        silent = {server for server, at_s in failed.items() if at_s >= oldest_s}
         silent.update(
             server
             for server, start_s in path.pending.values()
@@ -373,6 +375,20 @@
         )
         return silent
 
+    def _failed(self, path: _ServicePath) -> dict[str, float]:
+        """Returns the failures that may be those of the path, by server.
+
+        Open connections may live on while new ones are refused; only requests
+        that need a new one are borrowed then.
+        """
+        if not self._has_fresh_data(path):
+            return path.failures
+        return {
+            server: at_s
+            for server, at_s in path.failures.items()
+            if path.refusals.get(server) != at_s
+        }
+
     def _is_silent(self, path: _ServicePath, start_s: float) -> bool:
         since_s = max(start_s, path.response_s)
         return self._clock.monotonic() - since_s >= _SILENT_S
--- a/endivespindle/serving/tests/test_server_paths.py
+++ b/endivespindle/serving/tests/test_server_paths.py
@@ -290,3 +290,16 @@
     world.attempt("s1", has_responded=True)
     world.paths.request_probe(SERVICE)
     assert not world.paths.should_probe(SERVICE)
+
+
+def test_streams_on_open_connections_show_that_the_path_is_there():
+    """Pattern: new connections are refused in the middle of a step."""
+    world = _World()
+    _silent_cut(world, streams=20)
+    for _ in range(20):
+        world.paths.record_data(SERVICE)
+        world.fail("s1", "s2", "s3", "s4")
+        assert not world.is_borrowing()
+        assert not world.paths.should_probe(SERVICE)
+        assert world.paths.may_borrow(SERVICE)
+        world.clock.advance(0.1)
