Record a software version before a caller gets its first event

Report of other operators: during a release, streams begun on servers of the new version broke, were taken up at a gateway that was out of step, and went on at a server of the old version.

It could happen here: only the lease holder wrote which versions serve, and a gateway used a record up to half a second old. Without a holder, or before it wrote, a stream began at a version that the record lacked; a gateway that had not seen its servers and found no origin took the other version for the only one.

test_a_stream_of_software_that_no_controller_saw_does_not_go_on fails on the code before (200 instead of 503, twice).

--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -276,7 +276,9 @@
             proof=StoredSoftwareProof(
                 store=self._proxied_store(),
                 directory=self._directory,
+                is_first_start=settings.is_first_start,
                 clock=clock,
+                ids=parts.ids,
                 log=parts.log,
             ),
             forwarder=forwarder,
--- a/endivespindle/runtime/streaming.py
+++ b/endivespindle/runtime/streaming.py
@@ -293,12 +293,20 @@
     async def _record_origin(
         self, progress: _StreamProgress, software: str
     ) -> None:
-        """Records which software begins a stream, before its first event."""
+        """Records which software begins a stream, before its first event.
+
+        A VM that takes the stream up may have missed that there are servers of
+        this version: it finds the origin, or the version in the store.
+        """
         if _is_resumed(progress.call):
             return
-        versions = self._forwarder.software_versions(progress.plan.service)
-        await self._origins.record(
-            progress.call.request_id, software, wait=len(versions) > 1
+        service = progress.plan.service
+        versions = self._forwarder.software_versions(service)
+        await asyncio.gather(
+            self._origins.record(
+                progress.call.request_id, software, wait=len(versions) > 1
+            ),
+            self._proof.ensure_recorded(service, software),
         )
 
     async def _forward_events(
--- a/tests/test_streams_after_restart.py
+++ b/tests/test_streams_after_restart.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import signal
 
@@ -158,12 +159,7 @@
         for number in range(20):
             await _read_stream(fleet, "g1", f"s{number}")
         fleet.engines[0].software = "v3"
-        fleet.platform.write(
-            "servers",
-            fleet.engines[0].name,
-            fleet.engines[0].entry()
-            | {"address": await fleet.address_of(fleet.engines[0])},
-        )
+        await _register(fleet, fleet.engines[0])
         await fleet.until(recorded)
         for number in range(20):
             await _read_stream(fleet, "g1", f"t{number}")
@@ -172,3 +168,46 @@
         assert writes <= 3
 
     _play(tmp_path, story)
+
+
+def test_a_stream_of_software_that_no_controller_saw_does_not_go_on(tmp_path):
+    """Servers of a release join and leave while nobody holds the lease."""
+
+    async def story(fleet):
+        old, new = fleet.engines
+        fleet.platform.remove("servers", new.name)
+        await fleet.until(lambda: fleet.platform.read(*HISTORY))
+        await _kill(fleet, ("c1",))
+        new.software = "v2"
+        fleet.platform.remove("servers", old.name)
+        await _register(fleet, new)
+        numbers = itertools.count()
+
+        async def uses_new():
+            trial = f"trial-{next(numbers)}"
+            await _read_stream(fleet, "g1", trial)
+            return _engines_of(fleet, {trial}) == {new.name}
+
+        await fleet.until(uses_new)
+        assert await _begin_stream(fleet) == new.name
+        await _kill(fleet, GATEWAYS)
+        for engine in fleet.engines:
+            engine.faults.break_after = 0
+        fleet.platform.remove("servers", new.name)
+        await _register(fleet, old)
+        await _start(fleet, ALL_NODES)
+        status, _ = await _take_up(fleet)
+        assert status == 503
+        assert not _engines_after(fleet)
+        # New streams are not held up.
+        assert await _read_stream(fleet, "g1", "new") == (200, EVENTS)
+
+    _play(tmp_path, story, versions=("v1", "v1"))
+
+
+async def _register(fleet, engine):
+    fleet.platform.write(
+        "servers",
+        engine.name,
+        engine.entry() | {"address": await fleet.address_of(engine)},
+    )
