Let the stored owner adopt a job when a reader tells it

While a step was handed over, readers asked the new owner before the old one had told it, heard that it was not the owner, and took the step over themselves, at whatever gateway they were.

A reader that has just read the owner from the store says so; a node that is this owner and does not know it yet adopts the job, with the texts of the owner before, which the progress record now names. The same holds for a node whose own reader finds it.

--- a/endivespindle/batch/progress.py
+++ b/endivespindle/batch/progress.py
@@ -49,6 +49,8 @@
 
     Attributes:
         owner: Node that runs the job, with its incarnation.
+        owner_before: Node that ran it before, which may still hold its texts;
+            empty if there was none.
         token: Unique token of the write that created this record.
         ended: Whether the trainer ended the job.
         parts: Objects that hold the first results, in order.
@@ -56,6 +58,7 @@
     """
 
     owner: str
+    owner_before: str = ""
     token: str = ""
     ended: bool = False
     parts: tuple[ResultPart, ...] = ()
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -581,6 +581,7 @@
         new = msgspec.structs.replace(
             job.progress,
             owner=owner or self.owner_id,
+            owner_before=self.owner_id if owner else job.progress.owner_before,
             ended=job.progress.ended or ended,
             results=(*job.progress.results, *uncommitted),
         )
--- a/endivespindle/runtime/job_service.py
+++ b/endivespindle/runtime/job_service.py
@@ -203,18 +203,21 @@
             reply = await self.answer_as_owner(req)
             if reply.state is JobReplyStatus.OK:
                 return reply
-        tried = ""
+        unsure = ""
         owner = self._fleet.find_owner(self._owner_ids.get(req.job_id, ""))
         if owner is not None and self._is_reachable(owner):
-            tried = owner.owner_id
             reply = await self._query_peer(owner, req)
             if reply.state is JobReplyStatus.OK:
                 return reply
-        return await self._query_stored_owner(req, tried)
+            if reply.state is JobReplyStatus.UNSURE:
+                unsure = owner.owner_id
+        return await self._query_stored_owner(req, unsure)
 
     async def answer_as_owner(self, req: JobRequest) -> JobReply:
         """Reads or ends a job if this node owns it."""
         job = self._runner.jobs.get(req.job_id)
+        if job is None and req.stored_owner == self._runner.owner_id:
+            job = await self._adopt(req.job_id)
         if job is None or job.is_lost:
             return JobReply(state=JobReplyStatus.NOT_OWNER)
         if req.end:
@@ -416,14 +419,14 @@
             return JobReply(state=JobReplyStatus.NOT_OWNER)
 
     async def _query_stored_owner(
-        self, req: JobRequest, tried: str
+        self, req: JobRequest, unsure: str
     ) -> JobReply:
         """Reads a job's owner from the store, then queries or replaces it.
 
         Args:
             req: The request.
-            tried: Owner that was already called for this request; empty if
-                none was.
+            unsure: Owner that could not confirm the job just now; empty if
+                there is none.
 
         Returns:
             The reply of the job's owner.
@@ -443,10 +446,13 @@
         owner = self._fleet.find_owner(owner_id)
         if (
             owner is not None
-            and owner_id not in (tried, self._runner.owner_id)
+            and owner_id not in (unsure, self._runner.owner_id)
             and self._is_reachable(owner)
         ):
-            reply = await self._query_peer(owner, req)
+            reply = await self._query_peer(
+                owner,
+                msgspec.structs.replace(req, stored_owner=owner_id),
+            )
             if reply.state is JobReplyStatus.OK:
                 return reply
         if not await self._take_over(stored, asked_s=asked_s):
@@ -474,6 +480,32 @@
                 "job_not_adopted", job_id=update.job_id, error=str(exc)
             )
 
+    async def _adopt(self, job_id: str) -> OwnedJob | None:
+        """Adopts a job that the store names this node as the owner of.
+
+        Load pattern: the trainer and others read a job at all nodes while it is
+        handed over. One of them asks the new owner before the old one has told
+        it, and would take the job over instead, in whatever state it is itself.
+
+        Args:
+            job_id: ID of the job.
+
+        Returns:
+            The job; None if the store names another owner or cannot be read.
+        """
+        asked_s = self._clock.monotonic()
+        try:
+            async with asyncio.timeout(_CONFIRM_TIMEOUT_S):
+                stored = await self._store.load(job_id)
+                if (
+                    stored is not None
+                    and stored.progress.owner == self._runner.owner_id
+                ):
+                    await self._take_over(stored, asked_s=asked_s)
+        except (PlatformError, TimeoutError) as exc:
+            self._log.event("job_not_adopted", job_id=job_id, error=repr(exc))
+        return self._runner.jobs.get(job_id)
+
     async def _take_over(
         self, stored: StoredJob, *, asked_s: float, owner_before: str = ""
     ) -> bool:
@@ -506,9 +538,14 @@
         if self.draining:
             return False
         old_owner = stored.progress.owner
-        if old_owner != self._runner.owner_id:
+        if old_owner == self._runner.owner_id:
+            owner_before = owner_before or stored.progress.owner_before
+        else:
+            owner_before = owner_before or old_owner
             progress = msgspec.structs.replace(
-                stored.progress, owner=self._runner.owner_id
+                stored.progress,
+                owner=self._runner.owner_id,
+                owner_before=old_owner,
             )
             asked_s = self._clock.monotonic()
             try:
@@ -523,13 +560,11 @@
             stored = msgspec.structs.replace(
                 stored, progress=progress, version=version
             )
-        snapshots = await self._fetch_snapshots(
-            owner_before or old_owner, stored
-        )
+        snapshots = await self._fetch_snapshots(owner_before, stored)
         self._log.event(
             "job_taken_over",
             job_id=job_id,
-            owner_before=owner_before or old_owner,
+            owner_before=owner_before,
             listed=len(stored.results),
             texts=len(snapshots),
             version=stored.version,
--- a/endivespindle/runtime/peer_client.py
+++ b/endivespindle/runtime/peer_client.py
@@ -57,6 +57,8 @@
         wait_s: Maximum time to wait for a result, in seconds.
         end: Whether to end the job instead of reading results.
         item_id: Item whose body to return instead; empty for results.
+        stored_owner: Owner by the store, if the sender has just read it. If the
+            receiver is that owner and does not know so yet, it adopts the job.
     """
 
     job_id: str
@@ -64,6 +66,7 @@
     wait_s: float = 0.0
     end: bool = False
     item_id: str = ""
+    stored_owner: str = ""
 
 
 class JobReply(msgspec.Struct, kw_only=True):
