Give new steps to gateways that reach the servers

A gateway that is cut off from a service refuses to be assigned a job of it, so that the one that accepted the step runs it; one that is cut off itself chooses among those that passed its requests on. test_a_new_step_goes_to_a_node_that_reaches_servers fails on the code before.

--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -262,6 +262,7 @@
             peers=peers,
             clock=clock,
             log=parts.log,
+            reaching=api.reaching_gateways,
         )
         origins = StreamOrigins(clock=clock)
         peer_server.serve_stream_origins(origins)
@@ -551,9 +552,7 @@
         while True:
             await self._cut_off.wait()
             while self._paths.is_any_cut():
-                await self._jobs.hand_over_unreached(
-                    self._api.reaching_gateways
-                )
+                await self._jobs.hand_over_unreached()
                 await asyncio.sleep(_HAND_OVER_INTERVAL_S)
             self._cut_off.clear()
 
--- a/endivespindle/runtime/job_service.py
+++ b/endivespindle/runtime/job_service.py
@@ -78,6 +78,9 @@
         peers: Client for other nodes.
         clock: Clock of this VM.
         log: Decision log.
+        reaching: Returns the names of the nodes that are known to reach the
+            servers of a service while this one does not; empty if this node
+            does.
 
     Attributes:
         draining: Whether this node is shutting down and accepts no more jobs.
@@ -91,6 +94,7 @@
         "_no_assignment_until_s",
         "_owner_ids",
         "_peers",
+        "_reaching",
         "_runner",
         "_store",
         "_takeover_locks",
@@ -107,7 +111,9 @@
         peers: PeerClient,
         clock: Clock,
         log: EventLog,
+        reaching: Callable[[str], Collection[str]] = lambda service: (),
     ):
+        self._reaching = reaching
         self._runner = runner
         self._store = store
         self._fleet = fleet
@@ -170,10 +176,13 @@
         Returns:
             Whether this node runs the job. It does not if the store cannot
             confirm its ownership now: the assignment may be seconds old, and
-            no result could be committed.
+            no result could be committed. Nor does it while only other nodes
+            reach the servers.
         """
         if self.draining or submission.first_owner != self._runner.owner_id:
             return False
+        if self._reaching(submission.service):
+            return False
         job = self._runner.jobs.get(submission.job_id)
         if job is None:
             job = self._runner.add(_new_job(submission), asked_s=-math.inf)
@@ -266,24 +275,17 @@
         for index, job in enumerate(jobs):
             await self._hand_over(job, peers[index % len(peers)])
 
-    async def hand_over_unreached(
-        self, reaching: Callable[[str], Collection[str]]
-    ) -> None:
+    async def hand_over_unreached(self) -> None:
         """Hands over open jobs whose servers only other nodes reach.
 
         Load pattern: the owner of a step of some hundred items is cut off from
         the servers. Other nodes pass single items on for it, but leave less
         room than the servers have.
-
-        Args:
-            reaching: Returns the names of the nodes that are known to reach
-                the servers of a service while this one does not; empty if this
-                node does.
         """
         nodes = {n.name: n for n in self._fleet.peers(NodeRole.GATEWAY)}
         for job in list(self._runner.jobs.values()):
             sub = job.state.submission
-            names = [n for n in reaching(sub.service) if n in nodes]
+            names = [n for n in self._reaching(sub.service) if n in nodes]
             if not names or not job.is_open or job.is_provisional:
                 continue
             owner = preferred_owner(
@@ -328,9 +330,14 @@
             for node in self._fleet.peers(NodeRole.GATEWAY)
             if self._no_assignment_until_s.get(node.owner_id, 0.0) <= now_s
         }
-        nodes[me.name] = me
+        reaching = [n for n in self._reaching(submission.service) if n in nodes]
+        if reaching:
+            nodes = {name: nodes[name] for name in reaching}
+        else:
+            nodes[me.name] = me
         cpu = {name: node.cpu for name, node in nodes.items()}
-        return nodes[preferred_owner(submission, cpu, default=me.name)]
+        default = me.name if me.name in nodes else reaching[0]
+        return nodes[preferred_owner(submission, cpu, default=default)]
 
     def _start_job(
         self, submission: BatchSubmission, owner: NodeRecord, asked_s: float
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -160,11 +160,15 @@
             metrics=self.parts.metrics,
             **common,
         )
+        self.reaching = []
         self.service = JobService(
             runner=self.runner,
             store=jobs,
             fleet=self.parts.fleet,
             peers=peers,
+            reaching=lambda service: (
+                self.reaching if service == "engine" else []
+            ),
             **common,
         )
         peers.services[name] = self.service
@@ -952,11 +956,10 @@
         reaching = others[-1].parts.fleet.local_node.name
         await asyncio.sleep(1.3)
         before = len(world.servers.sent)
-        await owner.service.hand_over_unreached(lambda service: [])
+        await owner.service.hand_over_unreached()
         assert world.owner() is owner
-        await owner.service.hand_over_unreached(
-            lambda service: [reaching] if service == "engine" else []
-        )
+        owner.reaching = [reaching]
+        await owner.service.hand_over_unreached()
         await asyncio.sleep(0.05)
         assert world.owner() is others[-1]
         await asyncio.sleep(2.5)
@@ -972,6 +975,24 @@
     _play(slow, story, names=("n1", "n2", "n3", "n4"))
 
 
+def test_a_new_step_goes_to_a_node_that_reaches_servers():
+    """Pattern: both the node that accepts it and its usual owner are cut."""
+
+    async def story(world):
+        await world.submit([item("i1")])
+        usual = world.owner()
+        reaching = next(n for n in world.nodes[1:] if n is not usual)
+        heir = reaching.parts.fleet.local_node.name
+        usual.reaching = [heir]
+        await world.submit([item("i2")], job_id="job-2")
+        assert "job-2" not in usual.runner.jobs
+        world.nodes[0].reaching = [heir]
+        await world.submit([item("i3")], job_id="job-3")
+        assert world.owner("job-3") is reaching
+
+    _play(_whole, story, names=("n1", "n2", "n3", "n4"))
+
+
 def test_readers_do_not_take_a_job_that_is_being_handed_over():
     """Pattern: the trainer and others read at every node, all the time."""
 
@@ -992,7 +1013,8 @@
         written = len(world.store.log)
         before = len(world.servers.sent)
         world.peers.news_delay_s = 0.1
-        await owner.service.hand_over_unreached(lambda service: [heir])
+        owner.reaching = [heir]
+        await owner.service.hand_over_unreached()
         await asyncio.sleep(0.3)
         assert world.owner() is others[-1]
         assert len(world.store.log) - written == 1
