End a broken stream as broken, whatever the next server answers

Report of other operators: a stream broke off, the next server answered with an error, and callers found its text or head in their stream, or a stream that looked complete.

Two of these could happen here. A response with status 200 that is no stream has no events, so that it ended the stream as complete (through another gateway; directly if its body was empty); a text of a batch item became whole with the events it had. And a refusal raised after the first event would have been written as a second response, head and all; no path that raises one is known.

A response that names another type than a stream is never read as one, and any error after the first event closes the caller's connection.

--- a/endivespindle/runtime/borrowed_path.py
+++ b/endivespindle/runtime/borrowed_path.py
@@ -317,8 +317,9 @@
     async def events(self) -> AsyncIterator[StreamEvent]:
         """Yields the events of a stream as they arrive."""
         async for frame in self._content():
-            if isinstance(frame, EventFrame):
-                yield frame.event
+            if not isinstance(frame, EventFrame):
+                raise connection_lost_error("the response is no stream")
+            yield frame.event
 
     async def _content(self) -> AsyncIterator[Frame]:
         """Yields the frames up to the one that marks the end."""
--- a/endivespindle/runtime/completion_runner.py
+++ b/endivespindle/runtime/completion_runner.py
@@ -249,6 +249,9 @@
         if head.status != 200:
             await _discard_body(resp)
             return self._handle_failure(job, state, head.status)
+        if not head.may_be_stream:
+            await _discard_body(resp)
+            return "no_stream"
         view.models.confirm(sub.model)
         version = head.weight_version
         if version is not None:
--- a/endivespindle/runtime/lent_path.py
+++ b/endivespindle/runtime/lent_path.py
@@ -22,7 +22,11 @@
     encode_frame,
 )
 from endivespindle.serving.active_config import ActiveConfig
-from endivespindle.serving.calls import ResponseHead, ServerApi
+from endivespindle.serving.calls import (
+    EVENT_STREAM_TYPE,
+    ResponseHead,
+    ServerApi,
+)
 from endivespindle.serving.directory import ServerDirectory, ServerView
 from endivespindle.serving.lending_room import LendingRoom
 from endivespindle.serving.path_lenders import LenderRefusal
@@ -207,7 +211,4 @@
 
 
 def _is_stream(head: ResponseHead) -> bool:
-    return head.status == 200 and any(
-        name.lower() == "content-type" and value.startswith("text/event-stream")
-        for name, value in head.headers
-    )
+    return head.status == 200 and head.content_type == EVENT_STREAM_TYPE
--- a/endivespindle/runtime/streaming.py
+++ b/endivespindle/runtime/streaming.py
@@ -156,6 +156,30 @@
         self._forwarder.record_demand(plan.service)
         if _is_resumed(call):
             progress.software = await self._find_software(call, plan, resumes)
+        try:
+            return await self._run_attempts(progress, resumable=resumable)
+        except Exception as exc:
+            if progress.resp is None:
+                raise
+            # The error's response would follow the events that were forwarded.
+            self._log.state_change(
+                "stream_failed",
+                request_id=call.request_id,
+                last_event=progress.last_event_id,
+                error=repr(exc)[:200],
+            )
+            return self._abort(progress)
+
+    async def _run_attempts(
+        self, progress: _StreamProgress, *, resumable: bool
+    ) -> web.StreamResponse:
+        """Sends the stream to one server after the other until it is complete.
+
+        Raises:
+            RefusedError: No server started to respond.
+            CancelledError: The stream broke.
+        """
+        plan = progress.plan
         while True:
             try:
                 resp = await self._attempt(progress)
@@ -253,11 +277,13 @@
             await response.read()
             return None
         progress.run_state = RunState.RAN
-        if response.head.status != 200:
-            resp = await self._forward_error(response, progress)
-        else:
+        if response.head.status == 200:
             progress.on_start()
+        resp: web.StreamResponse | None
+        if response.head.may_be_stream:
             resp = await self._forward_events(response, view, progress)
+        else:
+            resp = await self._forward_body(response, progress)
         progress.guard.record_response(response.head)
         return resp
 
@@ -329,10 +355,10 @@
         await progress.resp.write_eof()
         return progress.resp
 
-    async def _forward_error(
+    async def _forward_body(
         self, response: ServerResponse, progress: _StreamProgress
     ) -> web.StreamResponse | None:
-        """Forwards a server's error response unless the stream has started."""
+        """Forwards a response without events unless the stream has started."""
         body = await response.read()
         if progress.resp is not None:
             return None
--- a/endivespindle/serving/calls.py
+++ b/endivespindle/serving/calls.py
@@ -9,6 +9,7 @@
 from endivespindle.serving.server_entry import ServerEntry
 
 __all__ = [
+    "EVENT_STREAM_TYPE",
     "OrderResponse",
     "ResponseHead",
     "ServerApi",
@@ -20,6 +21,8 @@
     "VersionOrder",
 ]
 
+EVENT_STREAM_TYPE = "text/event-stream"
+
 
 class ServerCall(msgspec.Struct, kw_only=True, frozen=True):
     """A request as sent to a backend server.
@@ -100,6 +103,22 @@
     limit_per_s: float | None = None
     cold_for_s: float | None = None
 
+    @property
+    def content_type(self) -> str:
+        """Media type of the body, without parameters; empty if not named."""
+        for name, value in self.headers:
+            if name.lower() == "content-type":
+                return value.partition(";")[0].strip().lower()
+        return ""
+
+    @property
+    def may_be_stream(self) -> bool:
+        """Whether the body may be a stream of events."""
+        return self.status == 200 and self.content_type in (
+            "",
+            EVENT_STREAM_TYPE,
+        )
+
 
 class StreamEvent(msgspec.Struct, kw_only=True, frozen=True):
     """One complete event of a stream.
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -368,6 +368,36 @@
     _play(answer, story)
 
 
+def test_a_response_that_is_no_stream_does_not_complete_a_text():
+    async def story(world):
+        await world.submit([item("i1")])
+        await asyncio.sleep(3.0)
+        (result,) = (await world.read()).results
+        assert result.text == "t1\nt2\nt3"
+
+    answers = [
+        ScriptedAnswer(events=[1, 2, lost()]),
+        _page(),
+        ScriptedAnswer(events=[3]),
+    ]
+
+    def answer(name, call):
+        if call.request_id != "i1":
+            return _whole(name, call)
+        return answers.pop(0)
+
+    _play(answer, story)
+
+
+def _page():
+    """Returns a response with status 200 that is no stream."""
+    page = ScriptedAnswer(body=b"an error")
+    page.head = msgspec.structs.replace(
+        page.head, headers=(("Content-Type", "text/html"),)
+    )
+    return page
+
+
 @pytest.mark.parametrize(("status", "sends"), [(500, 3), (422, 1)])
 def test_an_item_that_cannot_be_done_is_terminated(status, sends):
     async def story(world):
--- a/tests/test_borrowed_path.py
+++ b/tests/test_borrowed_path.py
@@ -61,6 +61,27 @@
     _play(story)
 
 
+def test_a_borrowed_response_that_is_no_stream_has_no_events():
+    """Its end must not be taken for that of a stream."""
+
+    async def story(world, cut, *others):
+        await cut.become_cut("refuse")
+        call = ServerCall(
+            request_id="r",
+            method="GET",
+            target="/",
+            host="h",
+            headers=[],
+            body=b"",
+        )
+        entry = cut.directory.get("s0").entry
+        async with cut.api.send(entry, call, timeout_s=2.0) as response:
+            with pytest.raises(BackendServerError):
+                [event async for event in response.events()]
+
+    _play(story)
+
+
 def test_a_stream_that_breaks_off_at_the_server_is_not_complete():
     async def story(world, cut, *others):
         world.answer = lambda call: EventAnswer(events=(1, lost()))
