Wait for two silent gateways at most in one search

With up to eight gateways asked in turn, a request in a data centre that is cut off and holds no server of its service waited 0.3 s for each gateway elsewhere, 2.4 s in all.

--- a/endivespindle/runtime/borrowed_path.py
+++ b/endivespindle/runtime/borrowed_path.py
@@ -49,10 +49,12 @@
 __all__ = ["BorrowingServerApi"]
 
 # Gateways that are asked for one attempt, one after the other, as long as each
-# says that the request was not run, and those of them that may have tried: if
-# several do not connect, the server is down.
+# says that the request was not run; those of them that may have tried, as a
+# server to which several do not connect is down; and those that may be silent,
+# as the gateways of another data centre are in a cut between data centres.
 _MAX_ASKED = 8
 _MAX_TRIED = 3
+_MAX_SILENT = 2
 # Time within which a server must accept the connection of another gateway. That
 # one may be cut off without knowing it.
 _LENT_CONNECT_TIMEOUT_S = 0.2
@@ -190,7 +192,7 @@
             ),
         )
         error: BackendServerError = LenderRefusedError(LenderRefusal.NONE_LEFT)
-        tried = 0
+        tried = silent = 0
         lenders = self._lenders_of(server.service)
         for name in lenders.choose(peers, count=_MAX_ASKED):
             try:
@@ -201,6 +203,9 @@
                 error = exc
                 lenders.record_refused(name, exc.cause)
                 self._record(server, call, name, exc.cause)
+                silent += exc.cause is LenderRefusal.NO_REPLY
+                if silent >= _MAX_SILENT:
+                    break
                 continue
             except BackendServerError as exc:
                 error = exc
--- a/tests/test_borrowed_path.py
+++ b/tests/test_borrowed_path.py
@@ -213,6 +213,23 @@
     _play(story)
 
 
+def test_a_search_does_not_wait_for_all_silent_gateways():
+    """Pattern: a data centre is cut off, and holds no server of a service."""
+
+    async def story(world, cut, *others):
+        await cut.become_cut("refuse")
+        for other in others:
+            await other.server.stop()
+        with pytest.raises(BackendServerError) as caught:
+            await cut.send("s0", "r")
+        assert caught.value.ran is RunState.NOT_RUN
+        metrics = cut.parts.metrics.render().decode()
+        (line,) = [x for x in metrics.splitlines() if 'outcome="no_reply"' in x]
+        assert float(line.split()[-1]) == 2
+
+    _play(story, gateways=9)
+
+
 def test_an_attempt_that_is_given_up_ends_at_the_server_too():
     async def story(world, cut, *others):
         await cut.become_cut("refuse")
