Check the refusal of a step by its cut owner

The mutant fleet-keeps-steps-at-a-cut-owner survived: in the test the usual owner was the gateway that accepted the step, so that nothing was assigned. The test now finds a step whose owner is another one; the mutant is caught.

--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -1006,19 +1006,29 @@
 
 
 def test_a_new_step_goes_to_a_node_that_reaches_servers():
-    """Pattern: both the node that accepts it and its usual owner are cut."""
+    """Pattern: its usual owner is cut, then also the node that accepts it."""
 
     async def story(world):
-        await world.submit([item("i1")])
-        usual = world.owner()
+        first = world.nodes[0]
+        for number in range(20):
+            account = f"account-{number}"
+            await world.submit(
+                [item(f"i{number}")],
+                job_id=f"job-{number}",
+                client_account=account,
+            )
+            usual = world.owner(f"job-{number}")
+            if usual is not first:
+                break
+        assert usual is not first
         reaching = next(n for n in world.nodes[1:] if n is not usual)
         heir = reaching.parts.fleet.local_node.name
         usual.reaching = [heir]
-        await world.submit([item("i2")], job_id="job-2")
-        assert "job-2" not in usual.runner.jobs
-        world.nodes[0].reaching = [heir]
-        await world.submit([item("i3")], job_id="job-3")
-        assert world.owner("job-3") is reaching
+        await world.submit([item("x1")], job_id="x1", client_account=account)
+        assert world.owner("x1") is first
+        first.reaching = [heir]
+        await world.submit([item("x2")], job_id="x2", client_account=account)
+        assert world.owner("x2") is reaching
 
     _play(_whole, story, names=("n1", "n2", "n3", "n4"))
 
