Do not take a service without servers for cut off

A probe with no server to connect to counted as failed, so that the path was suspected and the first requests to new servers went through other gateways. test_a_service_without_servers_is_not_taken_for_cut_off fails on the code before.

--- a/endivespindle/runtime/path_probing.py
+++ b/endivespindle/runtime/path_probing.py
@@ -96,11 +96,12 @@
         """Returns whether one of a few servers accepts a connection.
 
         The first is of this data centre, if there is one: in a cut between data
-        centres the others fail.
+        centres the others fail. A service without servers tells nothing of the
+        path and counts as reached.
         """
         views = self._directory.available_servers(service)
         if not views:
-            return False
+            return True
         self._rng.shuffle(views)
         views.sort(key=lambda v: v.entry.data_centre != self._data_centre)
         if await self._connect(views[0].entry, _TIMEOUT_S):
--- a/tests/cut_gateways.py
+++ b/tests/cut_gateways.py
@@ -129,17 +129,18 @@
             paths=self.paths,
             clock=self.parts.clock,
         )
+        self.prober = PathProber(
+            paths=self.paths,
+            directory=self.directory,
+            data_centre="a",
+            connect=self._connect,
+            rng=self.parts.rng,
+        )
         self.api = BorrowingServerApi(
             ctx=self.parts,
             direct=direct,
             paths=self.paths,
-            prober=PathProber(
-                paths=self.paths,
-                directory=self.directory,
-                data_centre="a",
-                connect=self._connect,
-                rng=self.parts.rng,
-            ),
+            prober=self.prober,
             session=self.session,
         )
         self.own = 0
--- a/tests/test_borrowed_path.py
+++ b/tests/test_borrowed_path.py
@@ -213,6 +213,20 @@
     _play(story)
 
 
+def test_a_service_without_servers_is_not_taken_for_cut_off():
+    """Pattern: all servers of a service leave, and new ones join later."""
+
+    async def story(world, gateway):
+        gateway.cut.how = "refuse"
+        for name in SERVERS:
+            gateway.directory.get(name).announce_leaving()
+        gateway.prober.probe_all()
+        await asyncio.sleep(0.5)
+        assert not gateway.paths.should_borrow("plain")
+
+    _play(story, gateways=1)
+
+
 def test_a_search_does_not_wait_for_all_silent_gateways():
     """Pattern: a data centre is cut off, and holds no server of a service."""
 
