--- a/endivespindle/core/decoding.py
+++ b/endivespindle/core/decoding.py
@@ -1,16 +1,35 @@
 """Decoding of messages from other writers."""
 
+import re
 from typing import Any, TypeVar, overload
 
 import msgspec
 
-__all__ = ["decode_json", "decode_msgpack", "parse_count"]
+__all__ = ["decode_json", "decode_msgpack", "parse_address", "parse_count"]
 
 # Digits of a count that fits in 64 bits.
 _MAX_DIGITS = 18
 
 T = TypeVar("T")
 
+# An IP address or a name, and a port.
+_ADDRESS = re.compile(r"([0-9A-Za-z.:\[\]-]+):([0-9]{1,5})")
+_MAX_PORT = 65_535
+
+
+def parse_address(text: str) -> tuple[str, int] | None:
+    """Parses a host and a port; None if it is malformed or out of range.
+
+    Example:
+        >>> parse_address("10.0.0.9:8080")
+        ('10.0.0.9', 8080)
+        >>> parse_address("10.0.0.9:99999")
+    """
+    match = _ADDRESS.fullmatch(text)
+    if match is None or not 0 < int(match[2]) <= _MAX_PORT:
+        return None
+    return match[1], int(match[2])
+
 
 def parse_count(text: str) -> int | None:
     """Parses a number of ASCII digits; None if it is malformed or too large.
--- a/endivespindle/platform/nesting.py
+++ b/endivespindle/core/nesting.py
@@ -1,8 +1,15 @@
-"""Removes values that are nested too deeply to decode from a document."""
+"""Decoding of documents in which single values may be nested too deeply."""
 
 import re
+from typing import TypeVar
 
-__all__ = ["replace_deep_values"]
+import msgspec
+
+from endivespindle.core.decoding import decode_json
+
+__all__ = ["decode_tolerantly", "replace_deep_values"]
+
+T = TypeVar("T")
 
 # Levels that a value may have: a good part of what the decoder bears.
 _MAX_LEVELS = 100
@@ -11,11 +18,28 @@
 _OPENING = b"[{"
 
 
+def decode_tolerantly(data: bytes, *, type: type[T], level: int) -> T:
+    """Decodes a JSON document that holds values of several writers.
+
+    A value that is nested too deeply is decoded as null, and the others hold.
+
+    Args:
+        data: JSON document.
+        type: Type of the document.
+        level: Number of arrays and objects around each of the values.
+
+    Raises:
+        DecodeError: The document is malformed elsewhere.
+    """
+    try:
+        return decode_json(data, type=type)
+    except msgspec.MsgspecError:
+        return decode_json(replace_deep_values(data, level=level), type=type)
+
+
 def replace_deep_values(data: bytes, *, level: int) -> bytes:
     """Replaces values that are nested too deeply with null.
 
-    One writer's object must not hide those of the others in the same page.
-
     Args:
         data: JSON document.
         level: Number of arrays and objects around the values that are replaced
--- a/endivespindle/platform/documents.py
+++ b/endivespindle/platform/documents.py
@@ -1,11 +1,10 @@
 """Decodes the store objects of operators, trainers and backend servers."""
 
-import re
 from typing import Annotated, TypeVar
 
 import msgspec
 
-from endivespindle.core.decoding import decode_json
+from endivespindle.core.decoding import decode_json, parse_address
 from endivespindle.exceptions import MessageError
 from endivespindle.serving.configuration import (
     AccountEntry,
@@ -78,14 +77,9 @@
     single_version: bool = False
 
 
-# Integers that other components store in 64 bits.
 _Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=2**20)]
-# Some thousand years.
 _Milliseconds = Annotated[float, msgspec.Meta(ge=-1e14, le=1e14)]
-# An IP address or a name, and a port.
-_ADDRESS = re.compile(r"([0-9A-Za-z.:\[\]-]+):([0-9]{1,5})")
-_MAX_PORT = 65_535
 
 
 class _Model(msgspec.Struct, rename="camel"):
@@ -201,12 +195,10 @@
         MessageError: The entry is malformed; treat the server as absent.
     """
     doc = _decode(value, _Server)
-    match = _ADDRESS.fullmatch(doc.address)
-    if doc.state not in _DRAINING_BY_STATE or match is None:
+    address = parse_address(doc.address)
+    if doc.state not in _DRAINING_BY_STATE or address is None:
         raise MessageError(f"server {name}: unknown state or malformed address")
-    host, port = match[1], int(match[2])
-    if not 0 < port <= _MAX_PORT:
-        raise MessageError(f"server {name}: port {port} is out of range")
+    host, port = address
     leaves_ms = doc.leaves_ms
     return ServerEntry(
         name=name,
--- a/endivespindle/platform/objects.py
+++ b/endivespindle/platform/objects.py
@@ -5,14 +5,13 @@
 import aiohttp
 import msgspec
 
-from endivespindle.core.decoding import decode_json
+from endivespindle.core.nesting import decode_tolerantly
 from endivespindle.exceptions import (
     AnswerLostError,
     ConflictError,
     PlatformError,
     PlatformUnavailableError,
 )
-from endivespindle.platform.nesting import replace_deep_values
 from endivespindle.store.object_store import (
     ObjectList,
     StatusStore,
@@ -239,16 +238,7 @@
 
 
 def _decode(body: bytes, cls: type[T]) -> T:
-    """Decodes a response.
-
-    Raises:
-        AnswerLostError: It is malformed.
-    """
-    try:
-        return decode_json(body, type=cls)
-    except msgspec.MsgspecError:
-        body = replace_deep_values(body, level=_SPEC_LEVELS[cls])
     try:
-        return decode_json(body, type=cls)
+        return decode_tolerantly(body, type=cls, level=_SPEC_LEVELS[cls])
     except msgspec.MsgspecError as exc:
         raise AnswerLostError(f"malformed response: {exc}") from exc
