Bound the exponent of a lender's pause

A gateway that refused some thousand times in a row raised OverflowError in the request that asked it (a lack of room for a few minutes). The pause doubles eight times at most; both figures of a cause stand in one table. test_a_vm_may_refuse_for_hours fails on the code before.

--- a/endivespindle/serving/path_lenders.py
+++ b/endivespindle/serving/path_lenders.py
@@ -9,6 +9,7 @@
 
 __all__ = ["LenderChoice", "LenderRefusal"]
 
+_MAX_DOUBLINGS = 8
 # VMs that are used at a time: enough to spread the load, and few enough that
 # their connections are used again.
 _MAX_IN_USE = 4
@@ -37,23 +38,16 @@
 
 
 # Time for which a VM that refused is not asked, doubled with each further
-# refusal of the same kind up to the maximum. Room returns when a request ends;
-# a cut lasts for seconds.
-_PAUSE_S = {
-    LenderRefusal.CUT: 1.0,
-    LenderRefusal.NO_ROOM: 0.05,
-    LenderRefusal.KEYS_UNCONFIRMED: 1.0,
-    LenderRefusal.DRAINING: 8.0,
-    LenderRefusal.SERVER_UNKNOWN: 0.0,
-    LenderRefusal.NO_REPLY: 2.0,
-}
-_MAX_PAUSE_S = {
-    LenderRefusal.CUT: 4.0,
-    LenderRefusal.NO_ROOM: 0.2,
-    LenderRefusal.KEYS_UNCONFIRMED: 2.0,
-    LenderRefusal.DRAINING: 8.0,
-    LenderRefusal.SERVER_UNKNOWN: 0.0,
-    LenderRefusal.NO_REPLY: 8.0,
+# refusal of the same kind, and its maximum. Room returns when a request ends; a
+# cut lasts for seconds.
+_PAUSES_S = {
+    LenderRefusal.CUT: (1.0, 4.0),
+    LenderRefusal.NO_ROOM: (0.05, 0.2),
+    LenderRefusal.KEYS_UNCONFIRMED: (1.0, 2.0),
+    LenderRefusal.DRAINING: (8.0, 8.0),
+    LenderRefusal.SERVER_UNKNOWN: (0.0, 0.0),
+    LenderRefusal.NO_REPLY: (2.0, 8.0),
+    LenderRefusal.NONE_LEFT: (0.0, 0.0),
 }
 
 
@@ -111,7 +105,8 @@
         last, repeats = self._refusals.get(vm, (cause, 0))
         repeats = repeats if last is cause else 0
         self._refusals[vm] = (cause, repeats + 1)
-        pause_s = min(_MAX_PAUSE_S[cause], math.ldexp(_PAUSE_S[cause], repeats))
+        first_s, max_s = _PAUSES_S[cause]
+        pause_s = min(max_s, math.ldexp(first_s, min(repeats, _MAX_DOUBLINGS)))
         self._paused_until_s[vm] = self._clock.monotonic() + pause_s
 
     def record_unreached(self, vm: str) -> None:
--- a/endivespindle/serving/tests/test_server_paths.py
+++ b/endivespindle/serving/tests/test_server_paths.py
@@ -303,3 +303,13 @@
         assert not world.paths.should_probe(SERVICE)
         assert world.paths.may_borrow(SERVICE)
         world.clock.advance(0.1)
+
+
+def test_a_vm_may_refuse_for_hours():
+    clock = ManualClock()
+    choice = LenderChoice(clock=clock, rng=random.Random(1))
+    for cause in LenderRefusal:
+        for _ in range(5_000):
+            choice.record_refused("vm", cause)
+    clock.advance(8.5)
+    assert choice.choose(["vm"], count=1) == ["vm"]
