--- a/endivespindle/runtime/lent_path.py
+++ b/endivespindle/runtime/lent_path.py
@@ -94,7 +94,12 @@
         """
         req = decode_msgpack(body, type=LendRequest)
         resp = web.StreamResponse()
-        await resp.prepare(request)
+        try:
+            await resp.prepare(request)
+        except ConnectionError:
+            # The sender has gone; nothing was sent to a server.
+            self._ctx.metrics.count_lent_path("cancelled")
+            return resp
         task = asyncio.create_task(self._lend(req, resp))
         try:
             while not task.done():
--- a/tests/test_borrowed_path.py
+++ b/tests/test_borrowed_path.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import contextlib
+from unittest import mock
 
 import aiohttp
 import pytest
-from aiohttp import web
+from aiohttp import test_utils, web
 
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import BackendServerError
@@ -14,7 +15,9 @@
     LEND_PATH,
     EventFrame,
     HeadFrame,
+    LendRequest,
     encode_frame,
+    encode_request,
 )
 from endivespindle.schema.generated.caller import RunState
 from endivespindle.serving.calls import ServerCall, StreamEvent
@@ -227,6 +230,30 @@
     _play(story, gateways=1)
 
 
+def test_a_sender_that_has_gone_is_no_error():
+    async def story(world, lender):
+        writer = mock.Mock()
+        writer.write_headers = mock.AsyncMock(side_effect=ConnectionResetError)
+        request = test_utils.make_mocked_request(
+            "POST", LEND_PATH, writer=writer
+        )
+        call = ServerCall(
+            request_id="r",
+            method="GET",
+            target="/",
+            host="h",
+            headers=[],
+            body=b"",
+        )
+        req = LendRequest(
+            sender="g9", server="s0", started_ms=1, call=call, timeout_s=1.0
+        )
+        await lender.lender.handle(request, encode_request(req))
+        assert not world.runs
+
+    _play(story, gateways=1)
+
+
 def test_a_search_does_not_wait_for_all_silent_gateways():
     """Pattern: a data centre is cut off, and holds no server of a service."""
 
