--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -153,7 +153,7 @@
         memory_mb: int = 300,
     ):
         self.record = record
-        self.samplers = samplers
+        self.samplers = list(samplers)
         self.config = config
         self.memory_mb = memory_mb
         self.store = Store(record)
