Record final failures of items before they are sent again

Cause: what is known of an item's failures was kept like progress that can be made again: in memory, written with the next batch of results or never, and handed over only together with a text. The log shows it: `item_terminated` without `results_listed` behind it, `status_500` with no record at all. The same cause stood in the hand-over between live nodes and in reading a record again.

Change: the progress record holds the failures of items without a result; failures and terminations are written at once, and a failed item waits for the store's acknowledgement before it is sent again.

--- a/endivespindle/batch/commit_delay.py
+++ b/endivespindle/batch/commit_delay.py
@@ -23,13 +23,16 @@
     Load pattern: many items end within a second, several steps at a time, and
     each write of results is one paid call of the store. The trainer continues
     once enough groups are complete. So results are written at once when that
-    is the case, and in larger batches before.
+    is the case, and in larger batches before. Failures are rare and written at
+    once: an owner that is killed before would leave them to be repeated.
 
     Args:
         job: The job, with uncommitted results.
         now_ms: Unix milliseconds.
     """
     sub = job.submission
+    if job.has_final_failures:
+        return 0.0
     if len(job.committed) + len(job.uncommitted) == job.total:
         return 0.0
     if not sub.group_count:
--- a/endivespindle/batch/job.py
+++ b/endivespindle/batch/job.py
@@ -1,11 +1,15 @@
 """A batch job on the node that runs it."""
 
 import enum
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import msgspec
 
-from endivespindle.batch.progress import ItemOutcome, ItemResult
+from endivespindle.batch.progress import (
+    ItemFailures,
+    ItemOutcome,
+    ItemResult,
+)
 from endivespindle.batch.submission import BatchItem, BatchSubmission
 from endivespindle.serving.calls import StreamEvent
 
@@ -32,6 +36,7 @@
         server: Name of the server that generated the last of them.
         software: Software version of the servers that generated them.
         failures: Number of responses with status 500.
+        recorded_failures: Number of them that the store has acknowledged.
         reward_failures: Number of responses with status 500 to its reward
             call.
         not_before_s: Monotonic time before which the item is not retried.
@@ -49,6 +54,7 @@
         "item",
         "not_before_s",
         "phase",
+        "recorded_failures",
         "restarts",
         "resume_until_s",
         "reward_failures",
@@ -65,6 +71,7 @@
         self.server = ""
         self.software = ""
         self.failures = 0
+        self.recorded_failures = 0
         self.reward_failures = 0
         self.not_before_s = 0.0
         self.restarts = 0
@@ -126,6 +133,7 @@
     Args:
         submission: The job as accepted.
         results: Results committed so far.
+        failures: Failures recorded so far, by item.
         ended: Whether the job was ended.
 
     Attributes:
@@ -153,6 +161,7 @@
         *,
         submission: BatchSubmission,
         results: Sequence[ItemResult] = (),
+        failures: Mapping[str, ItemFailures] | None = None,
         ended: bool = False,
     ):
         self.submission = submission
@@ -168,6 +177,11 @@
             for item in submission.items
             if item.item_id not in done
         }
+        for item_id, known in (failures or {}).items():
+            state = self.items.get(item_id)
+            if state is not None:
+                state.failures = state.recorded_failures = known.failures
+                state.reward_failures = known.reward_failures
 
     @property
     def total(self) -> int:
@@ -217,13 +231,18 @@
         return [s for s in states.values() if s.item.group in incomplete]
 
     def waiting(self) -> list[ItemState]:
-        """Returns the items that could be sent to a server."""
+        """Returns the items that could be sent to a server.
+
+        A failed item waits until the store has acknowledged its failure: the
+        next owner must know of it if this node is killed.
+        """
         if self.ended:
             return []
         return [
             state
             for state in self.items.values()
             if state.phase is ItemPhase.WAITING
+            and state.failures <= state.recorded_failures
         ]
 
     def body(self, item_id: str) -> bytes | None:
@@ -260,6 +279,35 @@
             ),
         )
 
+    @property
+    def has_final_failures(self) -> bool:
+        """Whether failures are left that the next owner must know of."""
+        return any(
+            result.outcome is ItemOutcome.TERMINATED
+            for result in self._uncommitted
+        ) or any(
+            state.failures > state.recorded_failures
+            for state in self.items.values()
+        )
+
+    def count_failures(self) -> dict[str, ItemFailures]:
+        """Returns the failures of the items without a result, by item."""
+        return {
+            item_id: ItemFailures(
+                failures=state.failures, reward_failures=state.reward_failures
+            )
+            for item_id, state in self.items.items()
+            if state.phase is not ItemPhase.ENDED
+            and (state.failures or state.reward_failures)
+        }
+
+    def mark_recorded(self, failures: Mapping[str, ItemFailures]) -> None:
+        """Marks failures as acknowledged by the store."""
+        for item_id, known in failures.items():
+            state = self.items.get(item_id)
+            if state is not None:
+                state.recorded_failures = known.failures
+
     def mark_committed(self, count: int) -> None:
         """Marks the first uncommitted results as committed."""
         for result in self._uncommitted[:count]:
--- a/endivespindle/batch/partial_completions.py
+++ b/endivespindle/batch/partial_completions.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from endivespindle.batch.job import ItemState, JobState
+from endivespindle.batch.progress import ItemOutcome
 from endivespindle.core.clock import Clock
 
 __all__ = [
@@ -81,6 +82,8 @@
         server: Name of the server that generated the last of them.
         software: Software version of the servers that generated them.
         is_whole: Whether the completion is fully generated.
+        is_terminated: Whether the item was terminated; unknown to earlier
+            versions, which run it again.
         failures: Number of responses with status 500.
         reward_failures: Number of responses with status 500 to its reward
             call.
@@ -94,6 +97,7 @@
     failures: int
     reward_failures: int
     software: str = ""
+    is_terminated: bool = False
 
 
 def snapshot_items(job: JobState) -> list[ItemSnapshot]:
@@ -104,6 +108,11 @@
     dozen completions in progress, which would start from the beginning at the
     new owner and end after the step is due.
     """
+    terminated = {
+        result.item_id
+        for result in job.uncommitted
+        if result.outcome is ItemOutcome.TERMINATED
+    }
     return [
         ItemSnapshot(
             item_id=state.item.item_id,
@@ -114,29 +123,42 @@
             is_whole=state.is_generated,
             failures=state.failures,
             reward_failures=state.reward_failures,
+            is_terminated=state.item.item_id in terminated,
         )
         for state in job.items.values()
-        if state.chunks or state.failures or state.reward_failures
+        if state.chunks
+        or state.failures
+        or state.reward_failures
+        or state.item.item_id in terminated
     ]
 
 
 def restore_items(job: JobState, snapshots: Iterable[ItemSnapshot]) -> int:
     """Applies the previous owner's snapshots to a job.
 
+    Failures count whether or not there is a completion.
+
     Returns:
-        The number of snapshots used.
+        The number of completions used.
     """
     used = 0
     for snapshot in snapshots:
         state = job.items.get(snapshot.item_id)
-        if state is None or len(state.chunks) >= len(snapshot.pieces):
+        if state is None:
+            continue
+        state.failures = max(state.failures, snapshot.failures)
+        state.reward_failures = max(
+            state.reward_failures, snapshot.reward_failures
+        )
+        if snapshot.is_terminated:
+            job.terminate_item(state)
+            continue
+        if len(state.chunks) >= len(snapshot.pieces):
             continue
         state.chunks = list(snapshot.pieces)
         state.versions = list(snapshot.versions)
         state.server = snapshot.server
         state.software = snapshot.software
         state.is_generated = snapshot.is_whole
-        state.failures = snapshot.failures
-        state.reward_failures = snapshot.reward_failures
         used += 1
     return used
--- a/endivespindle/batch/progress.py
+++ b/endivespindle/batch/progress.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-__all__ = ["ItemOutcome", "ItemResult", "JobProgress", "ResultPart"]
+__all__ = [
+    "ItemFailures",
+    "ItemOutcome",
+    "ItemResult",
+    "JobProgress",
+    "ResultPart",
+]
 
 
 class ItemOutcome(enum.StrEnum):
@@ -32,6 +38,19 @@
     score: str = ""
 
 
+class ItemFailures(msgspec.Struct, kw_only=True, frozen=True):
+    """How often an item without a result has failed.
+
+    Attributes:
+        failures: Number of responses with status 500.
+        reward_failures: Number of responses with status 500 to its reward
+            call.
+    """
+
+    failures: int = 0
+    reward_failures: int = 0
+
+
 class ResultPart(msgspec.Struct, kw_only=True, frozen=True):
     """Reference to an object that holds consecutive results.
 
@@ -55,6 +74,8 @@
         ended: Whether the trainer ended the job.
         parts: Objects that hold the first results, in order.
         results: Results after those in `parts`, in order.
+        failures: Items without a result that failed, by identity. A node of an
+            earlier version leaves it out when it writes the record.
     """
 
     owner: str
@@ -63,3 +84,4 @@
     ended: bool = False
     parts: tuple[ResultPart, ...] = ()
     results: tuple[ItemResult, ...] = ()
+    failures: dict[str, ItemFailures] = {}
--- a/endivespindle/runtime/completion_runner.py
+++ b/endivespindle/runtime/completion_runner.py
@@ -345,7 +345,7 @@
             job.terminate_item(state, reason="rejected", log=self._log)
             return "rejected"
         if status == _HTTP_INTERNAL_ERROR:
-            state.failures += 1
+            job.record_failure(state)
             if not job.state.may_retry(state):
                 job.terminate_item(state, reason="failed", log=self._log)
         return f"status_{status}"
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -245,6 +245,8 @@
             first_seen_s=self._clock.monotonic(),
         )
         restored = restore_items(job.state, snapshots)
+        if job.state.has_final_failures:
+            job.flush_needed.set()
         restored += self._partial_completions.restore(job.state)
         if restored:
             self._log.event(
@@ -578,12 +580,14 @@
         if job.is_lost:
             raise ConflictError(f"job {job.job_id} is owned by another node")
         uncommitted = list(job.state.uncommitted)
+        failures = job.state.count_failures()
         new = msgspec.structs.replace(
             job.progress,
             owner=owner or self.owner_id,
             owner_before=self.owner_id if owner else job.progress.owner_before,
             ended=job.progress.ended or ended,
             results=(*job.progress.results, *uncommitted),
+            failures=failures,
         )
         asked_s = self._clock.monotonic()
         try:
@@ -600,6 +604,9 @@
             raise
         job.confirmed_s = asked_s
         job.state.mark_committed(len(uncommitted))
+        job.state.mark_recorded(failures)
+        if failures:
+            self.wake()
         job.state.ended = job.progress.ended
         if job.state.ended:
             self._partial_completions.store(job.state)
@@ -622,12 +629,16 @@
         state = JobState(
             submission=stored.submission,
             results=stored.results,
+            failures=stored.progress.failures,
             ended=stored.progress.ended,
         )
+        restore_items(state, snapshot_items(job.state))
         job.cancel_tasks()
         job.state = state
         job.progress = stored.progress
         job.version = stored.version
+        if state.has_final_failures:
+            job.flush_needed.set()
         job.notify()
         self.wake()
 
--- a/endivespindle/runtime/owned_job.py
+++ b/endivespindle/runtime/owned_job.py
@@ -67,6 +67,7 @@
         self.state = JobState(
             submission=stored.submission,
             results=stored.results,
+            failures=stored.progress.failures,
             ended=stored.progress.ended,
         )
         self.progress: JobProgress = stored.progress
@@ -146,6 +147,11 @@
             reward_failures=state.reward_failures,
         )
 
+    def record_failure(self, state: ItemState) -> None:
+        """Counts a response with status 500, which is written at once."""
+        state.failures += 1
+        self.flush_needed.set()
+
     def spawn(self, coro: Coroutine[Any, Any, None]) -> None:
         """Starts a task that `cancel_tasks` cancels."""
         task = asyncio.create_task(coro)
