Take requests during a planned stop only if they end before it

Callers saw (reported by another operator, shown here): one gateway is stopped in calm, callers stay on their connections or open new ones until it is gone, and requests that last 2.5 s are taken until the process is killed: those of the last seconds were passed on and cut without an answer, also on a route that may not be repeated (LOST).

Cause: requests were taken by the state "draining" alone, not measured against the end of the process, and the web server's own shutdown of up to 60 s came on top of 7 s of drain. The log shows `stopping`, answers up to the kill, and no `stopped`.

Change: a drain window decides by the request's own time limit; requests that may be repeated are taken in any case while the load balancer still sends connections. Others are refused at once as not run. Requests in progress at the end of the window get a final 504, begun streams end as broken, the log has their number. Jobs are handed over side by side and beside the drain; requests that are passed on for other gateways are waited for. Tests stop nodes that failed to start.

--- a/endivespindle/core/reasons.py
+++ b/endivespindle/core/reasons.py
@@ -168,6 +168,11 @@
         RunState.RAN,
         "The request with this idempotency key ran; its answer was not kept.",
     )
+    SHUT_DOWN = (
+        504,
+        RunState.UNKNOWN,
+        "This VM shut down before the answer was there.",
+    )
     DRAINING = (503, RunState.NOT_RUN, "This VM is shutting down.")
     NOT_READY = (503, RunState.NOT_RUN, "This VM has no configuration yet.")
     PLATFORM_UNAVAILABLE = (
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -48,6 +48,7 @@
 from endivespindle.serving.active_config import ActiveConfig
 from endivespindle.serving.attempt_guard import AttemptGuard
 from endivespindle.serving.directory import ServerDirectory, ServerView
+from endivespindle.serving.drain_window import DrainWindow
 from endivespindle.serving.evidence_exchange import EvidenceMessage
 from endivespindle.serving.placement_report import (
     PlacementReport,
@@ -97,9 +98,10 @@
 # are not reopened to apply a change of it.
 _IDLE_TIMEOUT_S = 15.0
 _MAX_HEADER_BYTES = 65_536
-# After SIGTERM, new connections arrive until the load balancer has seen two
-# failed readiness checks, one per second.
-_BALANCER_DRAIN_S = 2.6
+# Interval at which a stopping gateway looks for requests in progress.
+_DRAIN_CHECK_S = 0.05
+# Time for the last bytes to callers once their requests have ended.
+_CLOSE_TIMEOUT_S = 0.2
 
 
 class Gateway:
@@ -119,6 +121,7 @@
         "_cut_off",
         "_direct",
         "_directory",
+        "_drain",
         "_ingress",
         "_jobs",
         "_lender",
@@ -150,6 +153,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._cut_off = asyncio.Event()
         settings, clock = parts.settings, parts.clock
+        self._drain = DrainWindow(clock=clock, grace_s=settings.timing.grace_s)
         self._config = ActiveConfig(
             clock=clock,
             max_unconfirmed_s=self._max_unconfirmed_s(),
@@ -298,6 +302,7 @@
             clock=clock,
             rng=parts.rng,
             owner_id=owner_id,
+            drain=self._drain,
             log=parts.log,
             metrics=parts.metrics,
         )
@@ -443,20 +448,32 @@
 
     async def stop(self) -> None:
         """Drains: refuses new jobs, hands over open ones, finishes requests."""
-        self._ingress.is_draining = True
+        start_s = self._ctx.clock.monotonic()
+        self._drain.begin()
         self._jobs.draining = True
         self._lender.is_draining = True
-        clock = self._ctx.clock
-        start_s = clock.monotonic()
-        await self._jobs.hand_over_all()
-        grace_s = self._ctx.settings.timing.grace_s
-        while clock.monotonic() < start_s + grace_s - 1.0:
-            is_balancer_drained = (
-                clock.monotonic() >= start_s + _BALANCER_DRAIN_S
+        handover = asyncio.create_task(self._jobs.hand_over_all())
+        await self._drain_until(
+            lambda: (
+                self._drain.has_left_balancer()
+                and handover.done()
+                and not self._is_busy()
             )
-            if is_balancer_drained and not self._ingress.active_requests:
-                break
-            await asyncio.sleep(0.05)
+        )
+        for site in list(self._web_runner.sites):
+            await site.stop()
+        if self._web_runner.server is not None:
+            # Requests that cross the end of their connection are finished.
+            self._web_runner.server.pre_shutdown()
+        await self._drain_until(lambda: not self._is_busy())
+        self._ctx.log.state_change(
+            "drained",
+            seconds=round(self._ctx.clock.monotonic() - start_s, 2),
+            ended_requests=self._ingress.end_requests(),
+            lent_requests=self._lender.lent_requests,
+            handed_over=handover.done(),
+        )
+        await end_tasks([handover])
         await self._reports.send()
         await self._web_runner.cleanup()
         await self._ready_runner.cleanup()
@@ -465,6 +482,17 @@
         for session in self._sessions:
             await session.close()
 
+    async def _drain_until(self, condition: Callable[[], bool]) -> None:
+        """Waits for a condition, at most until the shutdown must go on."""
+        while True:
+            if self._drain.is_over() or condition():
+                return
+            await asyncio.sleep(_DRAIN_CHECK_S)
+
+    def _is_busy(self) -> bool:
+        """Returns whether callers wait for responses through this VM."""
+        return bool(self._ingress.active_requests or self._lender.lent_requests)
+
     def _max_unconfirmed_s(self) -> float:
         revoke_s = self._ctx.settings.timing.revoke_s
         return max(revoke_s * _MIN_KEY_FRACTION, revoke_s - _KEY_MARGIN_S)
@@ -475,7 +503,7 @@
 
     def _is_ready(self) -> bool:
         return (
-            not self._ingress.is_draining
+            not self._drain.is_open
             and self._config.version > 0
             and self._config.is_fresh()
             and len(self._directory) > 0
@@ -567,7 +595,7 @@
 
 
 async def _listen(server: web.Server, endpoint: Endpoint) -> web.ServerRunner:
-    runner = web.ServerRunner(server)
+    runner = web.ServerRunner(server, shutdown_timeout=_CLOSE_TIMEOUT_S)
     await runner.setup()
     site = web.TCPSite(runner, endpoint.host, endpoint.port, backlog=512)
     await site.start()
--- a/endivespindle/runtime/ingress.py
+++ b/endivespindle/runtime/ingress.py
@@ -1,10 +1,11 @@
 """HTTP handler for the requests of callers."""
 
 import asyncio
+import contextlib
 import functools
 import math
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import msgspec
 from aiohttp import web
@@ -39,6 +40,7 @@
 from endivespindle.serving.active_config import ActiveConfig, Permit
 from endivespindle.serving.calls import ServerCall
 from endivespindle.serving.configuration import RouteKind
+from endivespindle.serving.drain_window import DrainWindow
 
 __all__ = ["Ingress"]
 
@@ -54,6 +56,12 @@
 _STATUS_NOT_RUN = 503
 _STATUS_OUTCOME_UNKNOWN = 504
 _OUTCOME_CALLER_GONE = "caller_gone"
+# Time within which a call for a job is answered: a read of the store, its owner
+# asked, and the wait for a result.
+_JOB_CALL_LIMIT_S = 2.0
+# Delay of the retry of a request that a leaving VM does not take: retries reach
+# other VMs.
+_DRAINING_RETRY_AFTER_S = 0.05
 
 
 class _PermittedRequest(msgspec.Struct, kw_only=True, frozen=True):
@@ -86,28 +94,29 @@
         clock: Clock of this VM.
         rng: Random number generator.
         owner_id: Identity of this node as an owner of jobs.
+        drain: Which requests are taken during the shutdown. Connections are
+            then closed after their response, and no job is accepted.
         log: Event log.
         metrics: Metrics of this node.
 
     Attributes:
         active_requests: Number of requests in progress.
-        is_draining: Whether the node is shutting down: connections are closed
-            after their response and no job is accepted.
     """
 
     __slots__ = (
         "_clock",
         "_config",
+        "_drain",
         "_forwarder",
         "_jobs",
         "_log",
         "_metrics",
         "_owner_id",
         "_rng",
+        "_scopes",
         "_streams",
         "_usage",
         "active_requests",
-        "is_draining",
     )
 
     def __init__(
@@ -121,10 +130,13 @@
         clock: Clock,
         rng: random.Random,
         owner_id: str,
+        drain: DrainWindow,
         log: EventLog,
         metrics: NodeMetrics,
     ):
         self._config = config
+        self._drain = drain
+        self._scopes: set[asyncio.Timeout] = set()
         self._forwarder = forwarder
         self._streams = streams
         self._jobs = jobs
@@ -135,7 +147,6 @@
         self._log = log
         self._metrics = metrics
         self.active_requests = 0
-        self.is_draining = False
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handles one request and returns its response."""
@@ -147,15 +158,21 @@
             path = request.raw_path.partition("?")[0]
             host = request.headers.get("Host", "").partition(":")[0]
             job_target = parse_job_path(path)
-            if job_target and self._config.route(host=host, path=path) is None:
-                route = job_target[0]
-                resp = await self._serve_job_call(request, job_target, metadata)
-            else:
-                permit = self._config.permit(
-                    host=host, path=path, key=metadata.key
-                )
-                route = permit.route.name
-                resp = await self._serve(request, permit, metadata, start_s)
+            async with self._until_shutdown():
+                if (
+                    job_target
+                    and self._config.route(host=host, path=path) is None
+                ):
+                    route = job_target[0]
+                    resp = await self._serve_job_call(
+                        request, job_target, metadata
+                    )
+                else:
+                    permit = self._config.permit(
+                        host=host, path=path, key=metadata.key
+                    )
+                    route = permit.route.name
+                    resp = await self._serve(request, permit, metadata, start_s)
         except RefusedError as exc:
             outcome = exc.reason.code
             self._metrics.count_refusal(exc.reason)
@@ -180,10 +197,41 @@
                 else None,
                 seconds=round(duration_s, 4),
             )
-        if self.is_draining:
+        if self._drain.is_open:
             resp.force_close()
         return resp
 
+    def end_requests(self) -> int:
+        """Ends the requests in progress, each with a final response.
+
+        Returns:
+            Their number.
+        """
+        now_s = asyncio.get_running_loop().time()
+        scopes = list(self._scopes)
+        for scope in scopes:
+            scope.reschedule(now_s)
+        return len(scopes)
+
+    @contextlib.asynccontextmanager
+    async def _until_shutdown(self) -> AsyncIterator[None]:
+        """Ends a request that is still in progress when this VM stops.
+
+        Raises:
+            RefusedError: It was ended; it may have run.
+        """
+        scope = asyncio.timeout(None)
+        try:
+            async with scope:
+                self._scopes.add(scope)
+                yield
+        except TimeoutError as exc:
+            if not scope.expired():
+                raise
+            raise RefusedError(Reason.SHUT_DOWN, ran=RunState.UNKNOWN) from exc
+        finally:
+            self._scopes.discard(scope)
+
     async def _serve(
         self,
         request: web.BaseRequest,
@@ -200,6 +248,12 @@
             body=await self._read_body(request),
             start_s=start_s,
         )
+        route = permit.route
+        self._check_drain(
+            limit_s=start_s
+            + min(route.timeout_s, metadata.deadline_s or math.inf),
+            may_repeat=route.kind is RouteKind.IDEMPOTENT or route.resumable,
+        )
         handlers: dict[
             RouteKind,
             Callable[[_PermittedRequest], Awaitable[web.StreamResponse]],
@@ -209,7 +263,18 @@
             RouteKind.STREAM: self._relay_stream,
             RouteKind.BATCH: self._submit_job,
         }
-        return await handlers[permit.route.kind](permitted)
+        return await handlers[route.kind](permitted)
+
+    def _check_drain(self, *, limit_s: float, may_repeat: bool) -> None:
+        """Checks whether a request is taken during the shutdown.
+
+        Raises:
+            RefusedError: It would last longer than this VM.
+        """
+        if not self._drain.may_take(limit_s=limit_s, may_repeat=may_repeat):
+            raise RefusedError(
+                Reason.DRAINING, retry_after_s=_DRAINING_RETRY_AFTER_S
+            )
 
     async def _forward(
         self, permitted: _PermittedRequest
@@ -275,8 +340,10 @@
     async def _submit_job(
         self, permitted: _PermittedRequest
     ) -> web.StreamResponse:
-        if self.is_draining:
-            raise RefusedError(Reason.DRAINING, retry_after_s=0.05)
+        if self._drain.is_open:
+            raise RefusedError(
+                Reason.DRAINING, retry_after_s=_DRAINING_RETRY_AFTER_S
+            )
         permit = permitted.permit
         try:
             submission: BatchSubmission = decode_submission(
@@ -308,6 +375,10 @@
             or self._config.config.accounts is not None
         ):
             account = self._config.account(metadata.key).name
+        self._check_drain(
+            limit_s=self._clock.monotonic() + _JOB_CALL_LIMIT_S,
+            may_repeat=False,
+        )
         target_kind, job_id = job_target
         job_request = JobRequest(job_id=job_id)
         if target_kind == "item":
--- a/endivespindle/runtime/job_service.py
+++ b/endivespindle/runtime/job_service.py
@@ -272,8 +272,12 @@
         jobs = [job for job in self._runner.jobs.values() if job.is_open]
         if not peers:
             return
-        for index, job in enumerate(jobs):
-            await self._hand_over(job, peers[index % len(peers)])
+        await asyncio.gather(
+            *(
+                self._hand_over(job, peers[index % len(peers)])
+                for index, job in enumerate(jobs)
+            )
+        )
 
     async def hand_over_unreached(self) -> None:
         """Hands over open jobs whose servers only other nodes reach.
--- a/endivespindle/runtime/lent_path.py
+++ b/endivespindle/runtime/lent_path.py
@@ -84,6 +84,11 @@
         self._room = LendingRoom(count_own=count_own)
         self.is_draining = False
 
+    @property
+    def lent_requests(self) -> int:
+        """Requests of other gateways' callers that are passed on now."""
+        return self._room.lent_requests
+
     async def handle(
         self, request: web.BaseRequest, body: bytes
     ) -> web.StreamResponse:
--- a/endivespindle/runtime/streaming.py
+++ b/endivespindle/runtime/streaming.py
@@ -158,6 +158,11 @@
             progress.software = await self._find_software(call, plan, resumes)
         try:
             return await self._run_attempts(progress, resumable=resumable)
+        except asyncio.CancelledError:
+            # The caller has gone, or this VM stops: no response may follow the
+            # events that were forwarded.
+            _abort_connection(progress)
+            raise
         except Exception as exc:
             if progress.resp is None:
                 raise
@@ -389,12 +394,17 @@
                 ran=progress.run_state,
                 retry_after_s=progress.retry_after_s,
             )
-        transport = progress.request.transport
-        if transport is not None:
-            transport.abort()
+        _abort_connection(progress)
         raise asyncio.CancelledError
 
 
+def _abort_connection(progress: _StreamProgress) -> None:
+    """Closes the caller's connection if a response has begun on it."""
+    transport = progress.request.transport
+    if progress.resp is not None and transport is not None:
+        transport.abort()
+
+
 def _is_resumed(call: ServerCall) -> bool:
     """Returns whether the caller has events of the stream already."""
     return call.last_event_id not in (None, "", "0")
--- a/endivespindle/serving/lending_room.py
+++ b/endivespindle/serving/lending_room.py
@@ -43,6 +43,11 @@
         """Requests that are passed on now."""
         return sum(self._lent.values())
 
+    @property
+    def lent_requests(self) -> int:
+        """Those of them that are no items of batch jobs."""
+        return self._lent[False]
+
     def record_delay(self, delay_s: float) -> None:
         """Records for how long a ready task waited for the processor."""
         self._delay_s += _SMOOTHING * (delay_s - self._delay_s)
--- a/endivespindle/standins/users_server.py
+++ b/endivespindle/standins/users_server.py
@@ -26,6 +26,7 @@
         lose_answers: Coming requests that run while their answer is lost.
         other_id: Coming answers that name another request.
         event_s: Seconds for each event.
+        work_s: Seconds for each plain request.
         leaving: Announces its shutdown in every answer.
         limit_per_s: Request rate that it names in every answer; None for none.
     """
@@ -39,6 +40,7 @@
         "limit_per_s",
         "lose_answers",
         "other_id",
+        "work_s",
     )
 
     def __init__(self) -> None:
@@ -48,6 +50,7 @@
         self.lose_answers = 0
         self.other_id = 0
         self.event_s = _EVENT_S
+        self.work_s = 0.0
         self.leaving = False
         self.limit_per_s: float | None = None
 
@@ -189,6 +192,7 @@
             headers["X-Request-Id"] = "another"
         model = request.headers.get("X-Model")
         if model is None:
+            await asyncio.sleep(self.faults.work_s)
             return web.Response(body=b"echo:" + body, headers=headers)
         return await self._stream(request, headers, model, last)
 
--- a/tests/node_fleet.py
+++ b/tests/node_fleet.py
@@ -160,6 +160,14 @@
         self.session = None
 
     async def __aenter__(self):
+        try:
+            await self._start_all()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start_all(self):
         await self.platform.start()
         self.platform.write("config", "main", config())
         for server in (*self.plain, *self.engines):
@@ -181,10 +189,10 @@
             await self.start(name)
         for name in ("g1", "g2"):
             await self.wait_ready(name)
-        return self
 
     async def __aexit__(self, *exc):
-        await self.session.close()
+        if self.session is not None:
+            await self.session.close()
         for node in self.nodes.values():
             if node.proc is not None and node.proc.returncode is None:
                 node.proc.kill()
