Move the exchange with a server out of the adapter

What does not translate goes where such code lives: sending a request and the end of a body without a length to backends/exchange.py, parsing of figures to core/decoding.py.

--- a/endivespindle/backends/exchange.py
+++ b/endivespindle/backends/exchange.py
@@ -1,20 +1,25 @@
 """Error translation and connection reuse for backend server exchanges."""
 
+import asyncio
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 import aiohttp
+import yarl
 
+from endivespindle.backends.sessions import ConnectionCount
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import BackendServerError
 from endivespindle.schema.generated.caller import RunState
 
 __all__ = [
+    "BodyEnd",
     "connection_lost_error",
     "is_framed",
     "mismatch_error",
     "read_body",
     "release_or_close",
+    "send_request",
     "silent_error",
     "translate_read_errors",
     "translate_send_errors",
@@ -24,6 +29,19 @@
 # Size beyond which a body is abandoned: a faulty server may send bytes without
 # end, and the smallest VMs have 150 MB.
 _MAX_BODY_BYTES = 8 * 1_048_576
+# A server that does not accept a connection within this time is gone or
+# partitioned: the round trip within a region is a few milliseconds.
+_CONNECT_TIMEOUT_S = 0.6
+# A server that sends no data for this long is considered unresponsive. The
+# longest pause in a healthy stream is a weight swap: 0.9 s, and more while
+# several servers load weights.
+_SILENCE_TIMEOUT_S = 4.0
+_SKIPPED_AUTO_HEADERS = (
+    "User-Agent",
+    "Accept",
+    "Accept-Encoding",
+    "Content-Type",
+)
 
 
 def connection_lost_error(message: str) -> BackendServerError:
@@ -90,6 +108,85 @@
         raise connection_lost_error(repr(exc)) from exc
 
 
+async def send_request(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: yarl.URL,
+    *,
+    headers: Sequence[tuple[str, str]],
+    body: bytes,
+    timeout_s: float | None,
+    connect_timeout_s: float | None = None,
+) -> aiohttp.ClientResponse:
+    """Sends a request as it is, and returns the head of the response.
+
+    Args:
+        session: Session whose connections are used.
+        method: HTTP method.
+        url: Encoded URL.
+        headers: All headers.
+        body: Request body; empty for none.
+        timeout_s: Timeout of the complete exchange, in seconds.
+        connect_timeout_s: Seconds within which a connection must be accepted;
+            None for the default.
+
+    Raises:
+        BackendServerError: No response; `ran` tells whether it was sent.
+    """
+    with translate_send_errors():
+        return await session.request(
+            method,
+            url,
+            headers=headers,
+            data=body or None,
+            skip_auto_headers=_SKIPPED_AUTO_HEADERS,
+            allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(
+                total=timeout_s,
+                sock_connect=connect_timeout_s or _CONNECT_TIMEOUT_S,
+                sock_read=_SILENCE_TIMEOUT_S,
+            ),
+            trace_request_ctx=ConnectionCount(),
+        )
+
+
+class BodyEnd:
+    """Tells whether a body without a length ended with a clean close.
+
+    aiohttp treats a connection reset as the end of such a body.
+
+    Args:
+        resp: Response whose head was received.
+    """
+
+    __slots__ = ("_closed", "_is_framed")
+
+    def __init__(self, resp: aiohttp.ClientResponse):
+        self._is_framed = is_framed(resp)
+        self._closed: asyncio.Future[None] | None = None
+        # The connection of a complete response has been released already.
+        if not self._is_framed and resp.connection is not None:
+            protocol = resp.connection.protocol
+            self._closed = protocol.closed if protocol is not None else None
+
+    def check(self) -> None:
+        """Checks the end of a body that was read.
+
+        Raises:
+            BackendServerError: The body may be incomplete.
+        """
+        if self._is_framed:
+            return
+        if self._closed is None or not self._closed.done():
+            raise connection_lost_error(
+                "the end of the response body is unknown"
+            )
+        if self._closed.exception() is not None:
+            raise connection_lost_error(
+                "the connection was reset within the response"
+            )
+
+
 async def read_body(
     resp: aiohttp.ClientResponse, *, max_bytes: int = _MAX_BODY_BYTES
 ) -> bytes:
--- a/endivespindle/core/decoding.py
+++ b/endivespindle/core/decoding.py
@@ -1,11 +1,18 @@
 """Decoding of messages from other writers."""
 
+import math
 import re
 from typing import Any, TypeVar, overload
 
 import msgspec
 
-__all__ = ["decode_json", "decode_msgpack", "parse_address", "parse_count"]
+__all__ = [
+    "decode_json",
+    "decode_msgpack",
+    "parse_address",
+    "parse_count",
+    "parse_figure",
+]
 
 # Digits of a count that fits in 64 bits.
 _MAX_DIGITS = 18
@@ -43,6 +50,20 @@
     return int(text)
 
 
+def parse_figure(text: str | None) -> float | None:
+    """Parses a finite number of 0 or more; None if missing or malformed.
+
+    Example:
+        >>> parse_figure("2.5"), parse_figure("-1"), parse_figure("inf")
+        (2.5, None, None)
+    """
+    try:
+        value = float(text) if text else None
+    except ValueError:
+        return None
+    return value if value is not None and 0 <= value < math.inf else None
+
+
 def decode_json(data: bytes | str, *, type: type[T]) -> T:
     """Decodes a JSON document.
 
--- a/endivespindle/platform/headers.py
+++ b/endivespindle/platform/headers.py
@@ -1,10 +1,9 @@
 """Headers of requests and responses on the users' platform."""
 
-import math
 from collections.abc import Iterable, Mapping
 
 from endivespindle.backends.http_headers import end_to_end_headers
-from endivespindle.core.decoding import parse_count
+from endivespindle.core.decoding import parse_count, parse_figure
 from endivespindle.runtime.request_metadata import RequestMetadata
 from endivespindle.serving.calls import ResponseHead, ServerCall, ServerLoad
 from endivespindle.serving.server_entry import ServerEntry
@@ -109,7 +108,7 @@
         # A response with this status comes from another server.
         leaving=headers.get(_LEAVING, "").strip() == "1"
         and status != _MISDIRECTED,
-        limit_per_s=_parse_limit(headers.get(_LIMIT)),
+        limit_per_s=parse_figure(headers.get(_LIMIT)),
         cold_for_s=_parse_ms_as_s(headers.get(_COLD_MS)),
     )
 
@@ -156,19 +155,7 @@
     return ServerLoad(running=figures[0], waiting=figures[1], pace=pace or None)
 
 
-def _parse_limit(text: str | None) -> float | None:
-    """Parses requests per second; None if missing, malformed or negative."""
-    try:
-        limit = float(text) if text else None
-    except ValueError:
-        return None
-    return limit if limit is not None and 0 <= limit < math.inf else None
-
-
 def _parse_ms_as_s(text: str | None) -> float | None:
     """Converts milliseconds to seconds; None if missing or malformed."""
-    try:
-        value = float(text) / 1000 if text else None
-    except ValueError:
-        return None
-    return value if value is not None and 0 <= value < float("inf") else None
+    value_ms = parse_figure(text)
+    return value_ms / 1000 if value_ms is not None else None
--- a/endivespindle/platform/servers.py
+++ b/endivespindle/platform/servers.py
@@ -1,6 +1,5 @@
 """HTTP client of backend servers on the users' platform."""
 
-import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Collection
 
@@ -9,15 +8,14 @@
 import yarl
 
 from endivespindle.backends.exchange import (
+    BodyEnd,
     connection_lost_error,
-    is_framed,
     mismatch_error,
     read_body,
     release_or_close,
+    send_request,
     translate_read_errors,
-    translate_send_errors,
 )
-from endivespindle.backends.sessions import ConnectionCount
 from endivespindle.core.decoding import decode_json
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import BackendServerError
@@ -43,21 +41,8 @@
 
 __all__ = ["PlatformServerApi"]
 
-# A server that does not accept a connection within this time is gone or
-# partitioned: the round trip within a region is a few milliseconds.
-_CONNECT_TIMEOUT_S = 0.6
-# A server that sends no data for this long is considered unresponsive. The
-# longest pause in a healthy stream is a weight swap: 0.9 s, and more while
-# several servers load weights.
-_SILENCE_TIMEOUT_S = 4.0
 _ACCEPTED_STATUSES = frozenset({200, 202})
 _CONFLICT = 409
-_SKIPPED_AUTO_HEADERS = (
-    "User-Agent",
-    "Accept",
-    "Accept-Encoding",
-    "Content-Type",
-)
 
 
 class _Model(msgspec.Struct):
@@ -97,15 +82,13 @@
         self._session = session
         self._single_use = single_use
 
-    @contextlib.asynccontextmanager
-    async def send(
+    def send(
         self, server: ServerEntry, call: ServerCall, *, timeout_s: float | None
-    ) -> AsyncIterator[ServerResponse]:
+    ) -> contextlib.AbstractAsyncContextManager[ServerResponse]:
         """Sends a request; returns the response once its head is received."""
-        async with self._exchange(
+        return self._exchange(
             server, call, timeout_s=timeout_s, response_ids=(call.request_id,)
-        ) as resp:
-            yield resp
+        )
 
     @contextlib.asynccontextmanager
     async def _exchange(
@@ -129,21 +112,15 @@
             BackendServerError: No response, or the response to another request.
         """
         session = self._session if call.may_repeat else self._single_use
-        with translate_send_errors():
-            resp = await session.request(
-                call.method,
-                _url(server, call.target),
-                headers=request_headers(call, server),
-                data=call.body or None,
-                skip_auto_headers=_SKIPPED_AUTO_HEADERS,
-                allow_redirects=False,
-                timeout=aiohttp.ClientTimeout(
-                    total=timeout_s,
-                    sock_connect=call.connect_timeout_s or _CONNECT_TIMEOUT_S,
-                    sock_read=_SILENCE_TIMEOUT_S,
-                ),
-                trace_request_ctx=ConnectionCount(),
-            )
+        resp = await send_request(
+            session,
+            call.method,
+            _url(server, call.target),
+            headers=request_headers(call, server),
+            body=call.body,
+            timeout_s=timeout_s,
+            connect_timeout_s=call.connect_timeout_s,
+        )
         try:
             response_id = parse_response_id(resp.headers.items())
             if response_id not in response_ids:
@@ -253,11 +230,11 @@
 class _HttpResponse(ServerResponse):
     """A response whose body is being read from a connection."""
 
-    __slots__ = ("_closed", "_resp", "head")
+    __slots__ = ("_end", "_resp", "head")
 
     def __init__(self, resp: aiohttp.ClientResponse):
         self._resp = resp
-        self._closed = _connection_closed(resp)
+        self._end = BodyEnd(resp)
         self.head: ResponseHead = parse_response_head(
             resp.status,
             resp.headers,
@@ -271,25 +248,9 @@
         """Returns the complete body."""
         with translate_read_errors():
             body = await read_body(self._resp)
-        self._check_body_end()
+        self._end.check()
         return body
 
-    def _check_body_end(self) -> None:
-        """Raises unless a body without a length ended with a clean close.
-
-        aiohttp treats a connection reset as the end of such a body.
-        """
-        if is_framed(self._resp):
-            return
-        if self._closed is None or not self._closed.done():
-            raise connection_lost_error(
-                "the end of the response body is unknown"
-            )
-        if self._closed.exception() is not None:
-            raise connection_lost_error(
-                "the connection was reset within the response"
-            )
-
     async def events(self) -> AsyncIterator[StreamEvent]:
         """Yields the events of a stream as they arrive."""
         parser = EventStreamParser()
@@ -301,24 +262,10 @@
                 break
             for event in parser.feed(data):
                 yield event
-        self._check_body_end()
+        self._end.check()
         if not parser.is_complete:
             raise connection_lost_error("the stream ended within an event")
 
 
-def _connection_closed(
-    resp: aiohttp.ClientResponse,
-) -> asyncio.Future[None] | None:
-    """Returns the future that completes when the connection is closed.
-
-    None if the response itself marks the end of its body, or if the connection
-    has been released already.
-    """
-    if is_framed(resp) or resp.connection is None:
-        return None
-    protocol = resp.connection.protocol
-    return protocol.closed if protocol is not None else None
-
-
 def _url(server: ServerEntry, target: str) -> yarl.URL:
     return yarl.URL(f"http://{server.address}{target}", encoded=True)
