Close a connection after a response that is not its own

Callers saw: after one foreign response, the next requests on the same connection were lost in turn, each to the response of the one before, the last after 4 s of silence. Requests that may run once were not affected, as each has a connection of its own.

Cause: a complete response releases its connection with its last byte, before its id is checked, and closing the response later does nothing. The existing test sent the foreign response in the same write as the next one, which leaves unread bytes and so ends the connection.

Change: the connector knows which connection a request was sent on last, and closes that one. A new connection carries its request in any case, so that a server that sends bytes first is not connected to without end.

The test failed before, and the mutant that leaves the call out is caught.

--- a/endivespindle/backends/connections.py
+++ b/endivespindle/backends/connections.py
@@ -4,14 +4,37 @@
 from typing import Any
 
 import aiohttp
+import yarl
 
-__all__ = ["IdentifiedConnector"]
+__all__ = ["IdentifiedConnector", "close_carrier"]
 
 # Requests that one connection carries. It bounds the ids that are remembered;
 # opening a connection anew for one request in this many costs little.
 _MAX_REQUESTS = 256
 
 
+class _Carried:
+    """What a connection has carried.
+
+    Attributes:
+        peer: Host and port that it leads to.
+        request_ids: Ids of the requests, in order.
+    """
+
+    __slots__ = ("peer", "request_ids")
+
+    def __init__(self, *, peer: tuple[str | None, int | None]):
+        self.peer = peer
+        self.request_ids: dict[str, None] = {}
+
+    def may_carry(self, request_id: str | None) -> bool:
+        """Returns whether a response to a request could be told apart."""
+        return (
+            request_id not in self.request_ids
+            and len(self.request_ids) < _MAX_REQUESTS
+        )
+
+
 class IdentifiedConnector(aiohttp.TCPConnector):
     """Keeps connections, and never sends two requests with one id on one.
 
@@ -30,9 +53,9 @@
     def __init__(self, *, id_header: str | None = None, **options: Any):
         super().__init__(**options)
         self._id_header = id_header
-        self._sent_ids: weakref.WeakKeyDictionary[object, set[str]] = (
-            weakref.WeakKeyDictionary()
-        )
+        self._carried: weakref.WeakKeyDictionary[
+            aiohttp.client_proto.ResponseHandler, _Carried
+        ] = weakref.WeakKeyDictionary()
 
     async def connect(
         self,
@@ -42,28 +65,48 @@
     ) -> aiohttp.connector.Connection:
         """Returns a connection that has not carried the request's id.
 
-        Kept connections that cannot be used for the request are closed.
+        Kept connections that cannot be used for the request are closed. A new
+        one is used in any case: a server that sends bytes before a request
+        would be connected to without end.
         """
         request_id = (
             req.headers.get(self._id_header) if self._id_header else None
         )
         while True:
             conn = await super().connect(req, traces, timeout)
-            if self._may_carry(conn, request_id):
-                return conn
-            conn.close()
-
-    def _may_carry(
-        self, conn: aiohttp.connector.Connection, request_id: str | None
-    ) -> bool:
-        """Returns whether a connection may carry a request, and records it."""
-        protocol = conn.protocol
-        if protocol is None or protocol.should_close:
-            return False
-        if request_id is None:
-            return True
-        sent_ids = self._sent_ids.setdefault(protocol, set())
-        if request_id in sent_ids or len(sent_ids) >= _MAX_REQUESTS:
-            return False
-        sent_ids.add(request_id)
-        return True
+            protocol = conn.protocol
+            if protocol is None:
+                continue
+            carried = self._carried.get(protocol)
+            if carried is None:
+                carried = _Carried(peer=(req.url.host, req.url.port))
+                self._carried[protocol] = carried
+            elif protocol.should_close or not carried.may_carry(request_id):
+                conn.close()
+                continue
+            if request_id is not None:
+                carried.request_ids[request_id] = None
+            return conn
+
+    def close_carrier(self, url: yarl.URL, request_id: str) -> None:
+        """Closes the connection to a server whose last request had an id.
+
+        A complete response releases its connection at once, so that the
+        response itself can no longer close it.
+        """
+        peer = (url.host, url.port)
+        for protocol, carried in list(self._carried.items()):
+            last_id = next(reversed(carried.request_ids), None)
+            if carried.peer == peer and last_id == request_id:
+                protocol.close()
+
+
+def close_carrier(
+    session: aiohttp.ClientSession, url: yarl.URL, request_id: str
+) -> None:
+    """Closes the connection on which a request was sent, if it is kept.
+
+    Its own response may still come there after one that is not its own.
+    """
+    if isinstance(session.connector, IdentifiedConnector):
+        session.connector.close_carrier(url, request_id)
--- a/endivespindle/platform/servers.py
+++ b/endivespindle/platform/servers.py
@@ -7,6 +7,7 @@
 import msgspec
 import yarl
 
+from endivespindle.backends.connections import close_carrier
 from endivespindle.backends.exchange import (
     BodyEnd,
     connection_lost_error,
@@ -106,10 +107,11 @@
             BackendServerError: No response, or the response to another request.
         """
         session = self._session if call.may_repeat else self._single_use
+        url = _url(server, call.target)
         resp = await send_request(
             session,
             call.method,
-            _url(server, call.target),
+            url,
             headers=request_headers(call, server),
             body=call.body,
             timeout_s=timeout_s,
@@ -132,6 +134,7 @@
                     response_id=response_id,
                     is_signed=bool(response.head.signature),
                 )
+                close_carrier(session, url, call.request_id)
                 raise mismatch_error()
             yield response
         finally:
@@ -146,10 +149,7 @@
         own, on which no earlier exchange can have left a response.
         """
         return self._exchange(
-            server,
-            call,
-            timeout_s=timeout_s,
-            is_identified=False,
+            server, call, timeout_s=timeout_s, is_identified=False
         )
 
     async def report(
--- a/tests/test_response_identity.py
+++ b/tests/test_response_identity.py
@@ -250,6 +250,28 @@
     play_raw_server(repeating.handle, story)
 
 
+def test_a_connection_is_not_used_after_a_response_that_is_not_its_own():
+    """The next requests got the responses to the ones before, one by one."""
+    connections = []
+
+    async def handle(reader, writer):
+        connections.append(writer)
+        writer.write(FOREIGN)
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            writer.write(_answer(await _read_request(reader)))
+            await reader.read()
+        writer.close()
+
+    async def story(api, entry):
+        for number in range(3):
+            with pytest.raises(BackendServerError) as caught:
+                await _send(api, entry, _call(f"r{number}"))
+            assert caught.value.reason is Reason.ANSWER_MISMATCH
+        assert len(connections) == 3
+
+    play_raw_server(handle, story)
+
+
 def test_connections_are_kept_for_many_requests():
     """Remembering ids must neither end reuse nor grow without bound."""
     connections = []
