Close idle connections of callers at once in a planned stop

Cause: told idle connections to close before the last report to the controllers and closed them after it; the HTTP server reads and drops what arrives in between. Change: telling and closing follow each other, requests in progress are waited for and ended as before.

--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -10,6 +10,7 @@
 from endivespindle.peers.tasks import end_tasks
 from endivespindle.platform.servers import PlatformServerApi
 from endivespindle.runtime.borrowed_path import BorrowingServerApi
+from endivespindle.runtime.caller_server import close_server, open_server
 from endivespindle.runtime.context import RuntimeContext
 from endivespindle.runtime.controller_reports import ControllerReports
 from endivespindle.runtime.forwarding import Forwarder
@@ -33,7 +34,7 @@
     open_backend_session,
     open_single_use_backend_session,
 )
-from endivespindle.runtime.settings import Endpoint, NodeRole
+from endivespindle.runtime.settings import NodeRole
 from endivespindle.runtime.shared_watchers import (
     make_config_watcher,
     make_evacuation_watcher,
@@ -100,8 +101,8 @@
 _MAX_HEADER_BYTES = 65_536
 # Interval at which a stopping gateway looks for requests in progress.
 _DRAIN_CHECK_S = 0.05
-# Time for the last bytes to callers once their requests have ended.
-_CLOSE_TIMEOUT_S = 0.2
+# Time for the last answers to readiness checks.
+_READINESS_CLOSE_S = 0.2
 
 
 class Gateway:
@@ -366,7 +367,7 @@
             raise ValueError(
                 "a gateway needs the settings callers and readiness"
             )
-        self._web_runner = await _listen(
+        self._web_runner = await open_server(
             web.Server(
                 self._ingress.handle,
                 access_log=None,
@@ -377,10 +378,12 @@
                 auto_decompress=False,
             ),
             settings.callers,
+            shutdown_timeout_s=settings.timing.grace_s,
         )
-        self._ready_runner = await _listen(
+        self._ready_runner = await open_server(
             web.Server(self._handle_readiness, access_log=None),
             settings.readiness,
+            shutdown_timeout_s=_READINESS_CLOSE_S,
         )
 
     def _watch_evacuations(self) -> None:
@@ -460,22 +463,20 @@
                 and not self._is_busy()
             )
         )
-        for site in list(self._web_runner.sites):
-            await site.stop()
-        if self._web_runner.server is not None:
-            # Requests that cross the end of their connection are finished.
-            self._web_runner.server.pre_shutdown()
-        await self._drain_until(lambda: not self._is_busy())
+        ended_requests = await close_server(
+            self._web_runner,
+            wait_for=self._drain_until,
+            end_requests=self._ingress.end_requests,
+        )
         self._ctx.log.state_change(
             "drained",
             seconds=round(self._ctx.clock.monotonic() - start_s, 2),
-            ended_requests=self._ingress.end_requests(),
+            ended_requests=ended_requests,
             lent_requests=self._lender.lent_requests,
             handed_over=handover.done(),
         )
         await end_tasks([handover])
         await self._reports.send()
-        await self._web_runner.cleanup()
         await self._ready_runner.cleanup()
         await end_tasks(self._tasks)
         await self._api.close()
@@ -592,11 +593,3 @@
         while True:
             await asyncio.sleep(_JOB_EXPIRY_INTERVAL_S)
             await self._runner.remove_expired(retention_s=retention_s)
-
-
-async def _listen(server: web.Server, endpoint: Endpoint) -> web.ServerRunner:
-    runner = web.ServerRunner(server, shutdown_timeout=_CLOSE_TIMEOUT_S)
-    await runner.setup()
-    site = web.TCPSite(runner, endpoint.host, endpoint.port, backlog=512)
-    await site.start()
-    return runner
