--- /dev/null
+++ b/review/rig/__init__.py
@@ -0,0 +1,1 @@
+"""Processes and stand-ins that the cases of the second review share."""
