--- a/review/rig/cases.py
+++ b/review/rig/cases.py
@@ -1,6 +1,7 @@
 """Runs the script of a case and turns its outcome into an exit code."""
 
 import asyncio
+import logging
 import os
 import pathlib
 import sys
@@ -27,6 +28,8 @@
     """
     record = pathlib.Path(script).resolve().parent / "record.txt"
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Stand-ins lose connections all the time.
+    logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     try:
         code = asyncio.run(_limited(play(record, has_trouble)))
     except Exception:
--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -305,20 +305,14 @@
         Returns:
             Time of the 202; None if there was none.
         """
-        body = msgspec.json.encode({"items": items, **fields})
         until_s = time.monotonic() + deadline_s
         for attempt in range(100):
             node = self.gateways[attempt % len(self.gateways)]
             left_s = until_s - time.monotonic()
             if left_s <= 0:
                 return None
-            status, _ = await self.call(
-                node,
-                "POST",
-                path,
-                body=body,
-                timeout_s=left_s,
-                X_Request_Id=job_id,
+            status = await self.submit_once(
+                node, job_id, items, path=path, timeout_s=left_s, **fields
             )
             self.note("submitted", job=job_id, node=node.name, status=status)
             if status == 202:
@@ -326,6 +320,27 @@
             await asyncio.sleep(0.5)
         return None
 
+    async def submit_once(
+        self,
+        node: Node,
+        job_id: str,
+        items: list[dict[str, Any]],
+        *,
+        path: str,
+        timeout_s: float = 12.0,
+        **fields: Any,
+    ) -> int:
+        """Submits a batch job at one node; returns the status."""
+        status, _ = await self.call(
+            node,
+            "POST",
+            path,
+            body=msgspec.json.encode({"items": items, **fields}),
+            timeout_s=timeout_s,
+            X_Request_Id=job_id,
+        )
+        return status
+
     async def read(
         self, node: Node, job_id: str, after: int = 0, *, key: str = "key-1"
     ) -> dict[str, Any] | None:
--- a/review/rig/platform.py
+++ b/review/rig/platform.py
@@ -22,12 +22,15 @@
         is_resetting: Whether the store resets each connection instead of
             answering, as `platform_down` with `how = "reset"` does.
         too_large: Writes that were refused for their size, by kind.
+        late_until_s: Time at which creations of batch jobs are carried out,
+            whose answers are lost; None if they are answered.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.is_resetting = False
         self.too_large: list[tuple[float, str, int]] = []
+        self.late_until_s: float | None = None
 
     async def reset_for(self, seconds: float) -> None:
         """Resets all connections to the store for some seconds."""
@@ -50,6 +53,25 @@
                 raise web.HTTPRequestEntityTooLarge(
                     max_size=VALUE_BYTES, actual_size=size
                 )
+        if self.late_until_s and kind == "jobs" and request.method == "POST":
+            await self._create_late(await request.read(), self.late_until_s)
+
+    async def _create_late(self, body: bytes, at_s: float) -> None:
+        """Carries a creation out late, as its answer is lost.
+
+        A connection on which an answer is lost returns nothing further, so
+        that the caller's time-out ends this.
+        """
+        asyncio.get_running_loop().call_later(
+            at_s - time.monotonic(), self._create_if_missing, body
+        )
+        await asyncio.Event().wait()
+
+    def _create_if_missing(self, body: bytes) -> None:
+        doc: dict[str, Any] = msgspec.json.decode(body)
+        name = doc["metadata"]["name"]
+        if self.read("jobs", name) is None:
+            self.write("jobs", name, doc["spec"])
 
 
 def _object_of(body: bytes) -> bytes:
--- a/review/rig/samplers.py
+++ b/review/rig/samplers.py
@@ -28,6 +28,7 @@
             samplers of a service.
 
     Attributes:
+        arrivals: Time and id of each request that reached it.
         runs: Time, id and service of each request that it began to run.
         is_full: Whether it turns new requests away.
         in_flight: Requests that run now.
@@ -57,6 +58,7 @@
         self.work_s = work_s
         self.zone = zone
         self.failing = failing if failing is not None else set()
+        self.arrivals: list[tuple[float, str]] = []
         self.runs: list[tuple[float, str, str]] = []
         self.in_flight = 0
         self.state = "ready"
@@ -138,6 +140,7 @@
         }
         if request.headers.get("X-Expect-Instance") != self.name:
             return web.Response(status=421, headers=headers)
+        self.arrivals.append((time.monotonic(), request_id))
         body = await request.read()
         async with self._free:
             self.in_flight += 1
