Let an open batch job follow its route to another service

Cause: the service was chosen at the 202 and read from the stored submission for as long as the job was open.

Change: the owner looks the route up before each placement and keeps the current service with the job's state. A job whose route names other services moves to one of them; it stays if the route still names its service, or was removed. Placement, migration, demand for capacity and the hand-over of owners that are cut from the servers use that service.

The loop on virtual time of the tests now always moves its clock: a wait for a remainder that is too small to be added ran without end (one of the new tests did, with any event interval whose sum rounds that way).

--- a/endivespindle/batch/job.py
+++ b/endivespindle/batch/job.py
@@ -138,6 +138,7 @@
 
     Attributes:
         submission: The job as accepted.
+        service: Service whose servers run its items.
         ended: Whether the job was ended.
         items: Items without a committed result, by identity.
         tokens_per_event: Tokens per stream event of the job's engines.
@@ -152,6 +153,7 @@
         "cache_tokens",
         "ended",
         "items",
+        "service",
         "submission",
         "tokens_per_event",
     )
@@ -165,6 +167,7 @@
         ended: bool = False,
     ):
         self.submission = submission
+        self.service = submission.service
         self.ended = ended
         self.tokens_per_event = 1
         self.cache_tokens = 0
--- a/endivespindle/batch/schedule.py
+++ b/endivespindle/batch/schedule.py
@@ -122,7 +122,7 @@
     assigned_tokens: dict[str, int] = {}
     prefix_servers: dict[tuple[str, str], str] = {}
     for job in sorted(jobs, key=_due_ms):
-        views = servers.get(job.submission.service, ())
+        views = servers.get(job.service, ())
         usable = [v for v in views if _may_generate(v, job)]
         baseline_interval_s = baseline_event_interval_s(views)
         for state in order_items(job):
--- a/endivespindle/batch/submission.py
+++ b/endivespindle/batch/submission.py
@@ -63,7 +63,8 @@
         client_account: Client account whose key the request carried.
         host: Host header, which selects the route of the items.
         path: Path the job was submitted to.
-        service: Service of the route when the job was accepted.
+        service: Service of the route when the job was accepted; a later
+            configuration may name another one.
         submitted_ms: Unix milliseconds of the acceptance.
         due_s: Seconds after the acceptance at which the results are due.
         max_wait_s: Seconds after which items may be terminated; 0 if never.
--- a/endivespindle/runtime/completion_runner.py
+++ b/endivespindle/runtime/completion_runner.py
@@ -320,7 +320,7 @@
             return False
         others = [
             other
-            for other in self._directory.available_servers(sub.service)
+            for other in self._directory.available_servers(job.state.service)
             if other is not view
             and other.entry.software == view.entry.software
             and not other.is_paused()
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -30,6 +30,7 @@
 from endivespindle.runtime.telemetry import EventLog, NodeMetrics
 from endivespindle.serving.active_config import ActiveConfig
 from endivespindle.serving.calls import ServerApi
+from endivespindle.serving.configuration import RouteKind
 from endivespindle.serving.directory import ServerDirectory, ServerView
 
 __all__ = ["JobRunner"]
@@ -320,7 +321,7 @@
                 state.phase in (ItemPhase.WAITING, ItemPhase.GENERATING)
                 for state in job.state.items.values()
             )
-            service = job.state.submission.service
+            service = job.state.service
             services[service] = services.get(service, 0) + slots
         return services
 
@@ -424,8 +425,30 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _follow_route(self, job: OwnedJob) -> None:
+        """Moves a job to a service that its route names.
+
+        A job whose route was removed stays with its service.
+        """
+        sub = job.state.submission
+        path = sub.path.partition("?")[0]
+        route = self._config.route(host=sub.host, path=path)
+        if route is None or route.kind is not RouteKind.BATCH:
+            return
+        if any(s.service == job.state.service for s in route.services):
+            return
+        service = self._config.choose_service(route, self._rng)
+        self._log.event(
+            "job_service_changed",
+            job_id=job.job_id,
+            service_before=job.state.service,
+            service=service,
+            config=self._config.version,
+        )
+        job.state.service = service
+
     def _apply_engine_spec(self, job: OwnedJob) -> None:
-        spec = self._config.service(job.state.submission.service)
+        spec = self._config.service(job.state.service)
         if spec is not None and spec.engine is not None:
             job.state.tokens_per_event = spec.engine.tokens_per_event
             job.state.cache_tokens = spec.engine.cache_tokens
@@ -451,6 +474,7 @@
         by_id = {job.job_id: job for job in open_jobs}
         now_s = self._clock.monotonic()
         for job in open_jobs:
+            self._follow_route(job)
             self._apply_engine_spec(job)
             if job.state.has_timed_out(age_s=job.min_age_s(self._clock)):
                 for state in job.state.waiting():
@@ -464,7 +488,7 @@
                 ):
                     state.phase = ItemPhase.SCORING
                     job.spawn(self._score_generated_item(job, state))
-        services = {job.state.submission.service for job in open_jobs}
+        services = {job.state.service for job in open_jobs}
         placements = place_items(
             [job.state for job in open_jobs],
             {
@@ -647,6 +671,7 @@
             failures=stored.progress.failures,
             ended=stored.progress.ended,
         )
+        state.service = job.state.service
         restore_items(state, snapshot_items(job.state))
         job.cancel_tasks()
         job.state = state
--- a/endivespindle/runtime/job_service.py
+++ b/endivespindle/runtime/job_service.py
@@ -320,7 +320,8 @@
         nodes = {n.name: n for n in self._fleet.peers(NodeRole.GATEWAY)}
         for job in list(self._runner.jobs.values()):
             sub = job.state.submission
-            names = [n for n in self._reaching(sub.service) if n in nodes]
+            service = job.state.service
+            names = [n for n in self._reaching(service) if n in nodes]
             if not names or not job.is_open or job.is_provisional:
                 continue
             owner = preferred_owner(
@@ -329,7 +330,7 @@
             self._log.event(
                 "job_owner_cut_off",
                 job_id=job.job_id,
-                service=sub.service,
+                service=service,
                 owner=owner,
                 candidates=sorted(names),
             )
--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import math
 import selectors
 from collections.abc import Coroutine
 from typing import Any
@@ -27,7 +28,11 @@
             return events
         if timeout is None:
             return super().select(_WAIT_FOR_THREADS_S)
-        self.now_s += max(0.0, timeout)
+        # Time that stands still lets a loop that waits for a remainder too
+        # small to be added run without end.
+        self.now_s = max(
+            self.now_s + timeout, math.nextafter(self.now_s, math.inf)
+        )
         return events
 
 
