Divide results into parts that the store accepts

All 192 items ran, none was ever listed, and two that had failed once were not sent again.

Cause: results that do not fit into the progress record were moved into a single part. What gathers in an outage exceeds the largest value; the store refused the same write 149 times, of 1,550,603 bytes at last, where 1,048,576 are allowed. The failures of items are recorded by that write, and a failed item waits for it.

Change: results are divided by encoded size, like the items of a submission. A result that exceeds a value by itself is stored in fragments and joined when the job is read, so that it does not block its job.

--- a/endivespindle/runtime/job_store.py
+++ b/endivespindle/runtime/job_store.py
@@ -1,6 +1,9 @@
 """Reads and writes batch jobs in the platform's store."""
 
 import enum
+import itertools
+from collections.abc import Iterable, Iterator, Sequence
+from typing import TypeVar
 
 import msgspec
 
@@ -24,6 +27,11 @@
 # Fraction of the largest value up to which one object is filled. The rest is
 # for the envelope and for what is added before the next size check.
 _MAX_FILL_FRACTION = 0.7
+# Largest encoding of one character of a text: an escaped control character.
+_MAX_CHARACTER_BYTES = 6
+_SEPARATOR_BYTES = 1
+
+T = TypeVar("T", bound=msgspec.Struct)
 
 
 class CreateOutcome(enum.StrEnum):
@@ -186,6 +194,7 @@
             )
             results += part.results if part else []
         results += progress.results
+        results = _join_fragments(results)
         return StoredJob(
             submission=submission,
             progress=progress,
@@ -262,19 +271,10 @@
         Returns:
             The job record, with the names of the parts.
         """
-        parts: list[str] = []
-        chunk: list[BatchItem] = []
-        chunk_bytes = 0
-        for item in submission.items:
-            item_bytes = len(msgspec.json.encode(item))
-            if chunk and chunk_bytes + item_bytes > self._max_bytes:
-                parts.append(
-                    await self._put_part(submission.job_id, _Items(chunk))
-                )
-                chunk, chunk_bytes = [], 0
-            chunk.append(item)
-            chunk_bytes += item_bytes
-        parts.append(await self._put_part(submission.job_id, _Items(chunk)))
+        parts = [
+            await self._put_part(submission.job_id, _Items(chunk))
+            for chunk in _chunks(submission.items, max_bytes=self._max_bytes)
+        ]
         return _JobRecord(
             submission=msgspec.structs.replace(submission, items=[]),
             item_parts=parts,
@@ -283,10 +283,28 @@
     async def _spill_results(
         self, job_id: str, progress: JobProgress
     ) -> JobProgress:
-        name = await self._put_part(job_id, _Results(list(progress.results)))
-        ref = ResultPart(name=name, count=len(progress.results))
+        """Moves the results of a progress record into parts.
+
+        Load pattern: the results of a whole step gather while the store is out
+        of reach, and exceed the largest value together.
+
+        Returns:
+            The progress record, with references to the parts.
+        """
+        fragments = [
+            fragment
+            for result in progress.results
+            for fragment in _fragments(result, max_bytes=self._max_bytes)
+        ]
+        refs = [
+            ResultPart(
+                name=await self._put_part(job_id, _Results(chunk)),
+                count=len(chunk),
+            )
+            for chunk in _chunks(fragments, max_bytes=self._max_bytes)
+        ]
         return msgspec.structs.replace(
-            progress, parts=(*progress.parts, ref), results=()
+            progress, parts=(*progress.parts, *refs), results=()
         )
 
     async def _put_part(self, job_id: str, part: msgspec.Struct) -> str:
@@ -299,3 +317,47 @@
             expect_version=0,
         )
         return name
+
+
+def _chunks(entries: Sequence[T], *, max_bytes: int) -> Iterator[list[T]]:
+    """Yields consecutive entries whose encoding has at most a given size.
+
+    An entry that is larger than that has a chunk of its own.
+    """
+    chunk: list[T] = []
+    chunk_bytes = 0
+    for entry in entries:
+        entry_bytes = len(msgspec.json.encode(entry)) + _SEPARATOR_BYTES
+        if chunk and chunk_bytes + entry_bytes > max_bytes:
+            yield chunk
+            chunk, chunk_bytes = [], 0
+        chunk.append(entry)
+        chunk_bytes += entry_bytes
+    if chunk:
+        yield chunk
+
+
+def _fragments(result: ItemResult, *, max_bytes: int) -> list[ItemResult]:
+    """Returns a result as consecutive results with a part of its text each."""
+    if len(msgspec.json.encode(result)) <= max_bytes:
+        return [result]
+    length = max(1, max_bytes // _MAX_CHARACTER_BYTES)
+    return [
+        msgspec.structs.replace(result, text=result.text[i : i + length])
+        for i in range(0, len(result.text), length)
+    ]
+
+
+def _join_fragments(results: Iterable[ItemResult]) -> list[ItemResult]:
+    """Joins what `_fragments` has divided."""
+    joined: list[ItemResult] = []
+    for _, group in itertools.groupby(results, key=lambda r: r.item_id):
+        fragments = list(group)
+        joined.append(
+            msgspec.structs.replace(
+                fragments[0], text="".join(f.text for f in fragments)
+            )
+            if len(fragments) > 1
+            else fragments[0]
+        )
+    return joined
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -29,6 +29,7 @@
 from endivespindle.serving.configuration import EngineSpec, ServiceSpec
 from endivespindle.serving.directory import ServerDirectory
 from endivespindle.serving.tests.configs import config, server
+from endivespindle.standins import memory_store
 from endivespindle.standins.memory_store import MemoryObjectStore
 from endivespindle.store.object_store import StoredObject
 from tests.fleet_fakes import (
@@ -707,6 +708,38 @@
     _play(answer, story)
 
 
+def test_results_that_gather_in_an_outage_are_listed(monkeypatch):
+    """One write of all of them exceeded the largest value (LOST)."""
+    monkeypatch.setattr(memory_store, "_MAX_VALUE_BYTES", 2000)
+    failed = []
+
+    def answer(name, call):
+        if call.request_id == "i0" and not failed:
+            failed.append(name)
+            return ScriptedAnswer(status=500)
+        return _whole(name, call)
+
+    async def story(world):
+        items = [item(f"i{n}", score=True) for n in range(40)]
+        _outage(world, True)
+        await _offer_in_vain(world, items)
+        for node in world.nodes:
+            node.runner._store._max_bytes = 1400
+        await asyncio.sleep(2.0)
+        _outage(world, False)
+        await world.submit(items)
+        await asyncio.sleep(5.0)
+        results = (await world.read()).results
+        assert {r.text for r in results} == {"t1\nt2\nt3"}
+        assert len({r.item_id for r in results}) == len(results) == 40
+        owner = world.owner()
+        owner.stop(world.peers)
+        left = next(n for n in world.nodes if n is not owner)
+        assert (await world.read(left)).results == results
+
+    _play(answer, story)
+
+
 def test_a_job_is_removed_once_nobody_may_ask_for_it():
     async def story(world):
         for node in world.nodes:
