Let items wait for a missing route of their reward calls

Cause: an item was terminated as soon as a confirmed configuration had no route for its reward call.

Change: the item keeps its completion and looks the route up again after 0.5 s. It is terminated after its longest wait, or ends with its job.

Tests: both new ones failed before (terminated instead of complete; terminated within 8 s of 10). They replace a test that asked for the fault: it expected an item to be terminated under a confirmed version without the route.

--- a/endivespindle/runtime/reward_calls.py
+++ b/endivespindle/runtime/reward_calls.py
@@ -21,6 +21,8 @@
 # Longest deadline of one attempt, and pause between two attempts.
 _ATTEMPT_TIMEOUT_S = 2.0
 _RETRY_PAUSE_S = 0.2
+# Pause before the route of a call is looked up again.
+_ROUTE_PAUSE_S = 0.5
 _HTTP_INTERNAL_ERROR = 500
 
 
@@ -70,45 +72,53 @@
     async def score(self, job: OwnedJob, state: ItemState) -> None:
         """Retries an item's reward call until it succeeds, then completes it.
 
-        Returns early if ownership of the job is not confirmed: the item keeps
-        its completion and is retried later. Terminates the item if the call
-        failed too often, its route was removed, or the job has timed out.
+        Returns early if ownership of the job is not confirmed, or the call has
+        no route: the item keeps its completion and is retried later. Terminates
+        the item if the call failed too often or the job has timed out.
         """
         reward = state.item.score
         if reward is None:
             self._record_score(job, state, "")
             return
-        start_s = self._clock.monotonic()
         while True:
             if not await self._confirm(job) or not job.may_run(state):
                 state.not_before_s = self._clock.monotonic() + _RETRY_PAUSE_S
                 return
             route = self._config.route(host=reward.host, path=reward.path)
-            if route is not None:
-                score = await self._attempt(job, state, reward, route)
-                if score is not None:
-                    self._record_score(job, state, score)
-                    return
-                max_attempts = max(
-                    job.state.submission.max_attempts, route.max_attempts
-                )
-                if state.reward_failures >= max_attempts:
-                    job.terminate_item(
-                        state, reason="reward_failed", log=self._log
-                    )
-                    return
-            elif self._config.confirmed_since(start_s):
-                job.terminate_item(
-                    state, reason="reward_route_gone", log=self._log
-                )
+            if route is None:
+                self._wait_for_route(job, state, reward)
+                return
+            score = await self._attempt(job, state, reward, route)
+            if score is not None:
+                self._record_score(job, state, score)
+                return
+            max_attempts = max(
+                job.state.submission.max_attempts, route.max_attempts
+            )
+            if state.reward_failures >= max_attempts:
+                job.terminate_item(state, reason="reward_failed", log=self._log)
                 return
-            else:
-                # The route may be newer than the active configuration.
-                await asyncio.sleep(_RETRY_PAUSE_S)
             if job.state.has_timed_out(age_s=job.min_age_s(self._clock)):
                 job.terminate_item(state, reason="max_wait", log=self._log)
                 return
 
+    def _wait_for_route(
+        self, job: OwnedJob, state: ItemState, reward: RewardCall
+    ) -> None:
+        """Lets an item wait for a configuration with its reward call's route.
+
+        The route may be newer than the active configuration, or removed by
+        mistake and added again.
+        """
+        state.not_before_s = self._clock.monotonic() + _ROUTE_PAUSE_S
+        self._log.event(
+            "reward_route_missing",
+            request_id=state.item.item_id,
+            job_id=job.job_id,
+            host=reward.host,
+            config=self._config.version,
+        )
+
     def _record_score(
         self, job: OwnedJob, state: ItemState, score: str
     ) -> None:
--- a/endivespindle/serving/active_config.py
+++ b/endivespindle/serving/active_config.py
@@ -121,10 +121,6 @@
         """Returns the age of the last confirmation, in seconds."""
         return self._clock.monotonic() - self._confirmed_s
 
-    def confirmed_since(self, time_s: float) -> bool:
-        """Returns whether the active version was confirmed since a time."""
-        return self.config is not None and self._confirmed_s >= time_s
-
     def is_fresh(self) -> bool:
         """Returns whether the confirmation is recent enough to accept keys."""
         return self.confirmation_age_s() <= self._max_unconfirmed_s
