Take no response whose status HTTP does not have

It could happen here: with the request's id and a signature, 000, 042, 099, 101, 600 and 999 were passed on.

Cause: the HTTP parser accepts any three digits, and no check looked at the status of a response outside 200 to 299.

Change: a response with a status outside 200 to 599 answers no request. Its outcome is unknown and its connection is closed. That holds for plain requests, streams, items, reward calls, reports and orders, for what another gateway passes on, and in the entry VM's client.

Tests: 18 cases, on kept and single connections, through another gateway and in the entry VM's client; each failed before.

--- a/endivespindle/backends/exchange.py
+++ b/endivespindle/backends/exchange.py
@@ -15,6 +15,7 @@
 __all__ = [
     "BodyEnd",
     "connection_lost_error",
+    "is_final_status",
     "is_framed",
     "mismatch_error",
     "read_body",
@@ -54,7 +55,8 @@
 def mismatch_error() -> BackendServerError:
     """Returns the error of a response that does not answer its request."""
     return BackendServerError(
-        "the response has no id of the request, or no signature",
+        "the response has no id of the request, no signature, or no status "
+        "of a final response",
         ran=RunState.UNKNOWN,
         reason=Reason.ANSWER_MISMATCH,
     )
@@ -230,3 +232,11 @@
         or resp.content_length is not None
         or "chunked" in transfer_encoding
     )
+
+
+def is_final_status(status: int) -> bool:
+    """Returns whether HTTP has a status for final responses.
+
+    The parser accepts any three digits, and takes 101 for the last response.
+    """
+    return 200 <= status <= 599
--- a/endivespindle/backends/http_client.py
+++ b/endivespindle/backends/http_client.py
@@ -8,7 +8,9 @@
 
 from endivespindle.backends.exchange import (
     connection_lost_error,
+    is_final_status,
     is_framed,
+    mismatch_error,
     read_body,
     release_or_close,
     translate_send_errors,
@@ -146,6 +148,8 @@
                 raise connection_lost_error(
                     "the end of the response body is not marked"
                 )
+            if not is_final_status(resp.status):
+                raise mismatch_error()
             body = await read_body(resp, max_bytes=max_bytes)
             response_request_id = resp.headers.get(
                 "X-Request-Id", call.request_id
--- a/endivespindle/backends/tests/test_http_client.py
+++ b/endivespindle/backends/tests/test_http_client.py
@@ -133,6 +133,15 @@
         assert exc.reason is Reason.ANSWER_MISMATCH
 
 
+@pytest.mark.parametrize("status", [b"000", b"101", b"600"])
+async def test_a_status_outside_the_protocol_is_no_response(status):
+    """A caller got the status 000 of a faulty server as its answer."""
+    response = COMPLETE_RESPONSE.replace(b"200", status)
+    async with _backends([response]) as (backends, entry, _):
+        exc = await _call_error(backends, entry, _call())
+        assert exc.ran is RunState.UNKNOWN
+
+
 async def test_no_unexpected_headers_are_sent():
     async with _backends([COMPLETE_RESPONSE]) as (backends, entry, scripted):
         await backends.call(entry, _call("POST"), max_bytes=1000)
--- a/endivespindle/platform/servers.py
+++ b/endivespindle/platform/servers.py
@@ -11,6 +11,7 @@
 from endivespindle.backends.exchange import (
     BodyEnd,
     connection_lost_error,
+    is_final_status,
     mismatch_error,
     read_body,
     release_or_close,
@@ -123,8 +124,10 @@
             known_ids = (
                 (call.request_id,) if is_identified else (call.request_id, None)
             )
-            if response_id not in known_ids or (
-                is_identified and response.head.is_unsigned_success
+            if (
+                response_id not in known_ids
+                or not is_final_status(resp.status)
+                or (is_identified and response.head.is_unsigned_success)
             ):
                 self._log.event(
                     "answer_mismatch",
--- a/endivespindle/runtime/borrowed_path.py
+++ b/endivespindle/runtime/borrowed_path.py
@@ -9,6 +9,7 @@
 
 from endivespindle.backends.exchange import (
     connection_lost_error,
+    is_final_status,
     mismatch_error,
     translate_read_errors,
     translate_send_errors,
@@ -315,6 +316,7 @@
         # A gateway of an earlier version passes on whatever it receives.
         if (
             parse_response_id(first.head.headers) != call.request_id
+            or not is_final_status(first.head.status)
             or first.head.is_unsigned_success
         ):
             raise mismatch_error()
--- a/tests/test_response_identity.py
+++ b/tests/test_response_identity.py
@@ -309,3 +309,41 @@
         assert await _send(api, entry, plain_call("r1")) == b"r1"
 
     play_raw_server(handle, story)
+
+
+@pytest.mark.parametrize("may_repeat", [True, False])
+@pytest.mark.parametrize("status", ["000", "042", "099", "101", "600", "999"])
+def test_a_status_outside_the_protocol_is_no_response(status, may_repeat):
+    """A caller got the status 000 of a faulty server as its answer (MIXED)."""
+    answer = _answer("r1").replace(b"200 OK", f"{status} Trouble".encode())
+
+    async def handle(reader, writer):
+        await _read_request(reader)
+        writer.write(answer)
+        await writer.drain()
+        writer.close()
+
+    async def story(api, entry):
+        with pytest.raises(BackendServerError) as caught:
+            await _send(api, entry, plain_call("r1", may_repeat=may_repeat))
+        assert caught.value.ran is RunState.UNKNOWN
+
+    play_raw_server(handle, story)
+
+
+@pytest.mark.parametrize("status", [0, 101, 600])
+def test_a_lent_response_with_such_a_status_is_none(status):
+    """A gateway of an earlier version passed such a response on (MIXED)."""
+
+    async def run():
+        async with GatewayWorld(gateways=2) as world:
+            cut, other = world.gateways
+            await cut.become_cut("refuse")
+            world.answer = lambda call: ScriptedAnswer(
+                status=status, body=b"foreign"
+            )
+            with pytest.raises(BackendServerError) as caught:
+                await cut.send("s0", "r1")
+            assert caught.value.ran is RunState.UNKNOWN
+
+    asyncio.run(run())
