--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import datetime
-import math
 import selectors
 from collections.abc import Coroutine
 from typing import Any
@@ -13,6 +12,10 @@
 
 _START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 _WAIT_FOR_THREADS_S = 0.2
+# Rounds of the loop after which time that stands still moves on, and by how
+# much.
+_MAX_ROUNDS = 10_000
+_TICK_S = 1e-9
 
 
 class _JumpingSelector(selectors.DefaultSelector):
@@ -21,6 +24,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.now_s = 0.0
+        self._rounds = 0
 
     def select(self, timeout=None):
         events = super().select(0)
@@ -28,11 +32,16 @@
             return events
         if timeout is None:
             return super().select(_WAIT_FOR_THREADS_S)
-        # Time that stands still lets a loop that waits for a remainder too
-        # small to be added run without end.
-        self.now_s = max(
-            self.now_s + timeout, math.nextafter(self.now_s, math.inf)
-        )
+        if timeout > 0:
+            self._rounds = 0
+            self.now_s += timeout
+            return events
+        # A loop that waits for a remainder too small to be added would run
+        # without end.
+        self._rounds += 1
+        if self._rounds > _MAX_ROUNDS:
+            self._rounds = 0
+            self.now_s += _TICK_S
         return events
 
 
