Bound the memory of all responses that a process reads

It could happen here: with 24 exchanges at a time, bodies without end grew the memory by 207 MB, interim responses by 145 MB, and responses on kept connections that nothing asked for by 258 MB, where the smallest VMs have 150 MB for the process.

Cause: a body was abandoned at 8 MiB, but nothing limited all bodies together. The HTTP client keeps every response of a connection until it is read. A plain body that another gateway passes on as events had no limit.

A connection closes after 16 interim responses, and after a second response to one request. A borrowed body is abandoned at 8 MiB.

--- a/endivespindle/backends/connections.py
+++ b/endivespindle/backends/connections.py
@@ -1,18 +1,92 @@
-"""Reuse of connections, one request with an id at most on each."""
+"""Connections whose responses are counted, and their reuse."""
 
+import asyncio
+import functools
 import weakref
 from typing import Any
 
 import aiohttp
 import yarl
+from aiohttp.client_proto import ResponseHandler
 
-__all__ = ["IdentifiedConnector", "close_carrier"]
+__all__ = ["BoundedConnector", "IdentifiedConnector", "close_carrier"]
+
+# Interim responses that may precede a response.
+_MAX_INTERIM_RESPONSES = 16
+_SWITCHING_PROTOCOLS = 101
 
 # Requests that one connection carries. It bounds the ids that are remembered;
 # opening a connection anew for one request in this many costs little.
 _MAX_REQUESTS = 256
 
 
+class _BoundedHandler(ResponseHandler):
+    """Closes a connection on which more comes in than its request allows.
+
+    aiohttp keeps all responses that come in until they are read. A faulty
+    server may send interim responses, or responses to nothing, without end.
+
+    Args:
+        loop: Event loop.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        super().__init__(loop)
+        self._interim_responses = 0
+        self._is_answered = False
+
+    def begin_request(self) -> None:
+        """Allows one response, with the interim ones before it."""
+        self._interim_responses = 0
+        self._is_answered = False
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Receives the head of a response."""
+        message, _ = data
+        is_interim = (
+            100 <= message.code <= 199 and message.code != _SWITCHING_PROTOCOLS
+        )
+        if self._is_answered or (
+            is_interim and self._interim_responses >= _MAX_INTERIM_RESPONSES
+        ):
+            self.force_close()
+            if self.transport is not None:
+                self.transport.close()
+            if not self._is_answered:
+                self.set_exception(
+                    aiohttp.ClientPayloadError("too many interim responses")
+                )
+            return
+        self._is_answered = not is_interim
+        self._interim_responses += is_interim
+        super().feed_data(data, size)
+
+
+class BoundedConnector(aiohttp.TCPConnector):
+    """Opens connections that carry one response for each request.
+
+    Args:
+        options: Options of `aiohttp.TCPConnector`.
+    """
+
+    def __init__(self, **options: Any):
+        super().__init__(**options)
+        handler: type[ResponseHandler] = _BoundedHandler
+        self._factory = functools.partial(handler, loop=self._loop)
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Any],
+        timeout: aiohttp.ClientTimeout,
+    ) -> aiohttp.connector.Connection:
+        """Returns a connection on which the request's response may come."""
+        conn = await super().connect(req, traces, timeout)
+        if isinstance(conn.protocol, _BoundedHandler):
+            conn.protocol.begin_request()
+        return conn
+
+
 class _Carried:
     """What a connection has carried.
 
@@ -35,7 +109,7 @@
         )
 
 
-class IdentifiedConnector(aiohttp.TCPConnector):
+class IdentifiedConnector(BoundedConnector):
     """Keeps connections, and never sends two requests with one id on one.
 
     A response is matched to its request by the id. A server may send a response
--- a/endivespindle/backends/exchange.py
+++ b/endivespindle/backends/exchange.py
@@ -7,13 +7,16 @@
 import aiohttp
 import yarl
 
+from endivespindle.backends.body_memory import BodyReservation
 from endivespindle.backends.sessions import ConnectionCount
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import BackendServerError
 from endivespindle.schema.generated.caller import RunState
 
 __all__ = [
+    "MAX_BODY_BYTES",
     "BodyEnd",
+    "check_body_size",
     "connection_lost_error",
     "is_final_status",
     "is_framed",
@@ -29,7 +32,7 @@
 _STATUSES_WITHOUT_BODY = (204, 304)
 # Size beyond which a body is abandoned: a faulty server may send bytes without
 # end, and the smallest VMs have 150 MB.
-_MAX_BODY_BYTES = 8 * 1_048_576
+MAX_BODY_BYTES = 8 * 1_048_576
 # A server that does not accept a connection within this time is gone or
 # partitioned: the round trip within a region is a few milliseconds.
 _CONNECT_TIMEOUT_S = 0.6
@@ -190,29 +193,42 @@
 
 
 async def read_body(
-    resp: aiohttp.ClientResponse, *, max_bytes: int = _MAX_BODY_BYTES
+    resp: aiohttp.ClientResponse,
+    *,
+    max_bytes: int = MAX_BODY_BYTES,
+    reservation: BodyReservation | None = None,
 ) -> bytes:
     """Reads a complete body; aiohttp raises an error for a truncated one.
 
     Args:
         resp: Response whose head was received.
         max_bytes: Size beyond which the body is abandoned.
+        reservation: Memory of the body; None if it shares none.
 
     Raises:
         BackendServerError: The body is too large.
     """
-    chunks: list[bytes] = []
-    size = 0
+    body = bytearray()
     async for chunk in resp.content.iter_any():
-        size += len(chunk)
-        if size > max_bytes:
-            raise BackendServerError(
-                "the response is too large",
-                ran=RunState.RAN,
-                reason=Reason.ANSWER_TOO_LARGE,
-            )
-        chunks.append(chunk)
-    return b"".join(chunks)
+        check_body_size(len(body) + len(chunk), max_bytes=max_bytes)
+        if reservation is not None:
+            reservation.resize(len(body) + len(chunk))
+        body += chunk
+    return bytes(body)
+
+
+def check_body_size(body_bytes: int, *, max_bytes: int) -> None:
+    """Checks that a body does not exceed its largest size.
+
+    Raises:
+        BackendServerError: The body is too large.
+    """
+    if body_bytes > max_bytes:
+        raise BackendServerError(
+            "the response is too large",
+            ran=RunState.RAN,
+            reason=Reason.ANSWER_TOO_LARGE,
+        )
 
 
 def release_or_close(resp: aiohttp.ClientResponse) -> None:
--- a/endivespindle/backends/sessions.py
+++ b/endivespindle/backends/sessions.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from endivespindle.backends.connections import BoundedConnector
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import BackendServerError
 from endivespindle.schema.generated.caller import RunState
@@ -56,7 +57,7 @@
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_start.append(_refuse_second_connection)
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
+        connector=BoundedConnector(
             limit=0, force_close=True, socket_factory=socket_factory
         ),
         auto_decompress=False,
--- a/endivespindle/platform/event_stream.py
+++ b/endivespindle/platform/event_stream.py
@@ -1,5 +1,6 @@
 """Parser of server-sent events in a response body."""
 
+from endivespindle.backends.body_reader import EventParser
 from endivespindle.core.decoding import parse_count
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import BackendServerError
@@ -15,7 +16,7 @@
 _EVENT_END = b"\n\n"
 
 
-class EventStreamParser:
+class EventStreamParser(EventParser[StreamEvent]):
     """Incremental parser of server-sent events.
 
     An event consists of `id:` and `data:` lines and ends with a blank line.
@@ -34,6 +35,11 @@
         """Returns whether no partial event is buffered."""
         return not self._buffer
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Returns the size of the partial event that is buffered."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Appends received bytes and returns the events they complete.
 
--- a/endivespindle/platform/servers.py
+++ b/endivespindle/platform/servers.py
@@ -7,16 +7,15 @@
 import msgspec
 import yarl
 
+from endivespindle.backends.body_memory import BodyMemory
+from endivespindle.backends.body_reader import BodyReader
 from endivespindle.backends.connections import close_carrier
 from endivespindle.backends.exchange import (
-    BodyEnd,
     connection_lost_error,
     is_final_status,
     mismatch_error,
-    read_body,
     release_or_close,
     send_request,
-    translate_read_errors,
 )
 from endivespindle.core.decoding import decode_json
 from endivespindle.core.reasons import Reason
@@ -68,19 +67,22 @@
         single_use: Closes each connection after one exchange; used for
             requests that must not be repeated, as aiohttp retries some
             methods by itself.
+        memory: Memory of the bodies being read.
         log: Event log.
     """
 
-    __slots__ = ("_log", "_session", "_single_use")
+    __slots__ = ("_log", "_memory", "_session", "_single_use")
 
     def __init__(
         self,
         *,
         session: aiohttp.ClientSession,
         single_use: aiohttp.ClientSession,
+        memory: BodyMemory,
         log: EventLog,
     ):
         self._log = log
+        self._memory = memory
         self._session = session
         self._single_use = single_use
 
@@ -120,7 +122,7 @@
         )
         try:
             response_id = parse_response_id(resp.headers.items())
-            response = _HttpResponse(resp)
+            response = _HttpResponse(resp, memory=self._memory)
             known_ids = (
                 (call.request_id,) if is_identified else (call.request_id, None)
             )
@@ -234,11 +236,10 @@
 class _HttpResponse(ServerResponse):
     """A response whose body is being read from a connection."""
 
-    __slots__ = ("_end", "_resp", "head")
+    __slots__ = ("_body", "head")
 
-    def __init__(self, resp: aiohttp.ClientResponse):
-        self._resp = resp
-        self._end = BodyEnd(resp)
+    def __init__(self, resp: aiohttp.ClientResponse, *, memory: BodyMemory):
+        self._body = BodyReader(resp, memory=memory)
         self.head: ResponseHead = parse_response_head(
             resp.status,
             resp.headers,
@@ -250,25 +251,11 @@
 
     async def read(self) -> bytes:
         """Returns the complete body."""
-        with translate_read_errors():
-            body = await read_body(self._resp)
-        self._end.check()
-        return body
+        return await self._body.read()
 
-    async def events(self) -> AsyncIterator[StreamEvent]:
+    def events(self) -> AsyncIterator[StreamEvent]:
         """Yields the events of a stream as they arrive."""
-        parser = EventStreamParser()
-        chunks = self._resp.content.iter_any()
-        while True:
-            with translate_read_errors():
-                data = await anext(chunks, None)
-            if data is None:
-                break
-            for event in parser.feed(data):
-                yield event
-        self._end.check()
-        if not parser.is_complete:
-            raise connection_lost_error("the stream ended within an event")
+        return self._body.read_events(EventStreamParser())
 
 
 def _url(server: ServerEntry, target: str) -> yarl.URL:
--- a/endivespindle/runtime/borrowed_path.py
+++ b/endivespindle/runtime/borrowed_path.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from endivespindle.backends.exchange import (
+    MAX_BODY_BYTES,
+    check_body_size,
     connection_lost_error,
     is_final_status,
     mismatch_error,
@@ -324,13 +326,15 @@
 
     async def read(self) -> bytes:
         """Returns the complete body."""
-        parts = []
+        body = bytearray()
         async for frame in self._content():
             if isinstance(frame, BodyFrame):
-                parts.append(frame.data)
+                body += frame.data
             elif isinstance(frame, EventFrame):
-                parts.append(frame.event.raw)
-        return b"".join(parts)
+                # The other gateway passes on events without end.
+                body += frame.event.raw
+            check_body_size(len(body), max_bytes=MAX_BODY_BYTES)
+        return bytes(body)
 
     async def events(self) -> AsyncIterator[StreamEvent]:
         """Yields the events of a stream as they arrive."""
--- a/endivespindle/runtime/controller.py
+++ b/endivespindle/runtime/controller.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from endivespindle.backends.body_memory import BodyMemory
 from endivespindle.controller.operations import Operations
 from endivespindle.exceptions import PlatformError
 from endivespindle.leases.lease import Lease
@@ -178,6 +179,9 @@
             servers=PlatformServerApi(
                 session=self._session,
                 single_use=self._session,
+                memory=BodyMemory(
+                    memory_bytes=ctx.settings.memory_mb * 1_048_576
+                ),
                 log=ctx.log,
             ),
             peers=peers,
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -7,6 +7,7 @@
 import msgspec
 from aiohttp import web
 
+from endivespindle.backends.body_memory import BodyMemory
 from endivespindle.peers.tasks import end_tasks
 from endivespindle.platform.servers import PlatformServerApi
 from endivespindle.runtime.borrowed_path import BorrowingServerApi
@@ -205,6 +206,7 @@
             api=PlatformServerApi(
                 session=self._sessions[0],
                 single_use=self._sessions[1],
+                memory=BodyMemory(memory_bytes=settings.memory_mb * 1_048_576),
                 log=parts.log,
             ),
             paths=paths,
--- a/tests/server_api.py
+++ b/tests/server_api.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+from endivespindle.backends.body_memory import BodyMemory
 from endivespindle.core.clock import SystemClock
 from endivespindle.platform.servers import PlatformServerApi
 from endivespindle.runtime.sessions import (
@@ -13,7 +14,7 @@
 from endivespindle.serving.calls import ServerCall
 from endivespindle.serving.tests.configs import server
 
-__all__ = ["open_server_api", "plain_call", "play_raw_server"]
+__all__ = ["MEMORY_BYTES", "open_server_api", "plain_call", "play_raw_server"]
 
 
 def plain_call(request_id="r1", **changes):
@@ -29,6 +30,10 @@
     return ServerCall(**(fields | changes))
 
 
+# Memory of the smallest VMs.
+MEMORY_BYTES = 150 * 1_048_576
+
+
 @contextlib.asynccontextmanager
 async def open_server_api():
     """Yields a client with sessions of its own."""
@@ -37,6 +42,7 @@
         yield PlatformServerApi(
             session=sessions[0],
             single_use=sessions[1],
+            memory=BodyMemory(memory_bytes=MEMORY_BYTES),
             log=EventLog(clock=SystemClock(), fields={}),
         )
     finally:
