Release abandoned bodies with their errors

Cause: an error refers by its traceback to the frame that read the body. It is kept until its request ends, while retries at other servers fill the memory anew.

Change: the body, its last chunk and a partial event are released before the error leaves the reader.

--- a/endivespindle/backends/body_reader.py
+++ b/endivespindle/backends/body_reader.py
@@ -29,6 +29,10 @@
     def buffered_bytes(self) -> int:
         """Returns the size of the partial event that is buffered."""
 
+    @abc.abstractmethod
+    def clear(self) -> None:
+        """Discards the partial event that is buffered."""
+
     @abc.abstractmethod
     def feed(self, data: bytes) -> Sequence[T]:
         """Appends received bytes and returns the events they complete.
@@ -71,16 +75,21 @@
             BackendServerError: The stream ended early or is malformed.
         """
         chunks = self._resp.content.iter_any()
-        with self._memory.reserve() as reservation:
-            while True:
-                with translate_read_errors():
-                    data = await anext(chunks, None)
-                if data is None:
-                    break
-                events = parser.feed(data)
-                reservation.resize(parser.buffered_bytes)
-                for event in events:
-                    yield event
-        self._end.check()
-        if parser.buffered_bytes:
-            raise connection_lost_error("the stream ended within an event")
+        try:
+            with self._memory.reserve() as reservation:
+                while True:
+                    with translate_read_errors():
+                        data = await anext(chunks, None)
+                    if data is None:
+                        break
+                    events = parser.feed(data)
+                    reservation.resize(parser.buffered_bytes)
+                    for event in events:
+                        yield event
+            self._end.check()
+            if parser.buffered_bytes:
+                raise connection_lost_error("the stream ended within an event")
+        except BaseException:
+            # The traceback refers to it for as long as the error is kept.
+            parser.clear()
+            raise
--- a/endivespindle/backends/exchange.py
+++ b/endivespindle/backends/exchange.py
@@ -209,11 +209,17 @@
         BackendServerError: The body is too large.
     """
     body = bytearray()
-    async for chunk in resp.content.iter_any():
-        check_body_size(len(body) + len(chunk), max_bytes=max_bytes)
-        if reservation is not None:
-            reservation.resize(len(body) + len(chunk))
-        body += chunk
+    try:
+        async for chunk in resp.content.iter_any():
+            check_body_size(len(body) + len(chunk), max_bytes=max_bytes)
+            if reservation is not None:
+                reservation.resize(len(body) + len(chunk))
+            body += chunk
+    except BaseException:
+        # The traceback refers to them for as long as the error is kept.
+        body.clear()
+        chunk = b""
+        raise
     return bytes(body)
 
 
--- a/endivespindle/platform/event_stream.py
+++ b/endivespindle/platform/event_stream.py
@@ -40,6 +40,10 @@
         """Returns the size of the partial event that is buffered."""
         return len(self._buffer)
 
+    def clear(self) -> None:
+        """Discards the partial event that is buffered."""
+        self._buffer = b""
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Appends received bytes and returns the events they complete.
 
--- a/tests/test_endless_responses_together.py
+++ b/tests/test_endless_responses_together.py
@@ -21,6 +21,7 @@
 # A node without load uses less than half of the memory.
 MAX_GROWTH_BYTES = MEMORY_BYTES // 2
 BODIES = 24
+WAVES = 6
 TIMEOUT_S = 4.0
 LIMIT_S = 60.0
 IDLE_S = 0.5
@@ -125,6 +126,32 @@
     play_raw_server(_flood(first, rest), story)
 
 
+@pytest.mark.parametrize("form", ["length", "event"])
+def test_errors_do_not_keep_what_was_abandoned(form):
+    """Retries at other servers filled the memory anew each time (LOST)."""
+
+    async def story(api, entry):
+        async def read_in_turn():
+            return [
+                await asyncio.gather(
+                    *(
+                        _read_error(
+                            api,
+                            entry,
+                            f"r{wave}-{n}",
+                            is_stream=form in STREAMS,
+                        )
+                        for n in range(BODIES)
+                    )
+                )
+                for wave in range(WAVES)
+            ]
+
+        assert await _growth_while(read_in_turn()) < MAX_GROWTH_BYTES
+
+    play_raw_server(_flood(*(BODY_FORMS | STREAMS)[form]), story)
+
+
 @pytest.mark.parametrize("form", STREAMS)
 def test_many_endless_streams_do_not_use_up_the_memory(form):
     """The process was killed, and the requests of others with it (LOST)."""
