Keep the remainder of divided results in the progress record

Each write of results so made one more call, and each read of the job, as its owner is confirmed every 1.5 s, one more.

Change: the remainder stays in the record unless the record is too large then.

Tests: those of the job store and of batch jobs pass; the property over sizes found a record that was too large in an earlier form of this change.

--- a/endivespindle/runtime/job_store.py
+++ b/endivespindle/runtime/job_store.py
@@ -225,7 +225,7 @@
         """
         progress = msgspec.structs.replace(progress, token=self._ids.new("p"))
         value = msgspec.json.encode(progress)
-        if len(value) > self._max_bytes:
+        while progress.results and len(value) > self._max_bytes:
             progress = await self._spill_results(job_id, progress)
             value = msgspec.json.encode(progress)
         try:
@@ -283,7 +283,7 @@
     async def _spill_results(
         self, job_id: str, progress: JobProgress
     ) -> JobProgress:
-        """Moves the results of a progress record into parts.
+        """Moves results of a progress record into parts that they fill.
 
         Load pattern: the results of a whole step gather while the store is out
         of reach, and exceed the largest value together.
@@ -296,15 +296,18 @@
             for result in progress.results
             for fragment in _fragments(result, max_bytes=self._max_bytes)
         ]
+        chunks = list(_chunks(fragments, max_bytes=self._max_bytes))
+        # What is left over stays in the record: each part is read one by one.
+        rest = chunks.pop() if len(chunks) > 1 else []
         refs = [
             ResultPart(
                 name=await self._put_part(job_id, _Results(chunk)),
                 count=len(chunk),
             )
-            for chunk in _chunks(fragments, max_bytes=self._max_bytes)
+            for chunk in chunks
         ]
         return msgspec.structs.replace(
-            progress, parts=(*progress.parts, *refs), results=()
+            progress, parts=(*progress.parts, *refs), results=tuple(rest)
         )
 
     async def _put_part(self, job_id: str, part: msgspec.Struct) -> str:
