Name the job and the status in the line of a request

Cause: a call of a batch job bears no request id, so the log line of a call that was answered 400 or 404 held nothing by which `explain JOB` could find it, and a 404 for a missing job counted as "answered" like a page of results.

Change: the line `request` has the status of the response, and the ID of the job if the path names one.

Test: test_the_log_names_the_job_of_a_call_and_the_status; before, it waited 30 s for a line with the id in vain (TimeoutError).

--- a/endivespindle/runtime/ingress.py
+++ b/endivespindle/runtime/ingress.py
@@ -152,12 +152,13 @@
         """Handles one request and returns its response."""
         start_s = self._clock.monotonic()
         metadata = parse_request_metadata(request.headers)
-        outcome, route = "answered", ""
+        path = request.raw_path.partition("?")[0]
+        host = request.headers.get("Host", "").partition(":")[0]
+        job_target = parse_job_path(path)
+        job_fields = {"job_id": job_target[1]} if job_target else {}
+        outcome, route, status = "answered", "", None
         self.active_requests += 1
         try:
-            path = request.raw_path.partition("?")[0]
-            host = request.headers.get("Host", "").partition(":")[0]
-            job_target = parse_job_path(path)
             async with self._until_shutdown():
                 if (
                     job_target
@@ -173,10 +174,12 @@
                     )
                     route = permit.route.name
                     resp = await self._serve(request, permit, metadata, start_s)
+            status = resp.status
         except RefusedError as exc:
             outcome = exc.reason.code
             self._metrics.count_refusal(exc.reason)
             resp = _refusal_response(exc, metadata)
+            status = resp.status
         except asyncio.CancelledError:
             outcome = _OUTCOME_CALLER_GONE
             raise
@@ -189,8 +192,10 @@
             self._log.event(
                 "request",
                 request_id=metadata.request_id,
+                **job_fields,
                 route=route,
                 outcome=outcome,
+                status=status,
                 config=self._config.version,
                 config_age_s=round(self._config.confirmation_age_s(), 2)
                 if self._config.version
