Recognise the calls of batch jobs before any route

Cause: Ingress.handle took a path for a job call only if no route matched it. Ruled out: that the version ends the job or changes its owner, and that key or account no longer match: the line `request` names the route `default` and `malformed`, and no line of the job follows. The same test took any method but DELETE for a read (POST /lots/ID was answered with a page), and an item without its id for a page.

Change: a request is a job call by method and path alone, on every host and before any route (batch/job_calls.py; how the calls are written stays in the adapter).

Why this works: nothing of the configuration takes part in the decision any more.

Tests: tests/test_job_calls.py. Before: 4 of 4 kinds of an added route 400 == 200, and the test of the other direction 200 == 404 (POST /lots/ID); after: all pass.

--- a/endivespindle/platform/jobs.py
+++ b/endivespindle/platform/jobs.py
@@ -1,4 +1,4 @@
-"""Paths and bodies of batch job requests on the users' platform."""
+"""Calls and bodies of batch jobs on the users' platform."""
 
 import base64
 import binascii
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from endivespindle.batch.job_calls import JobAction, JobCallSyntax
 from endivespindle.batch.progress import ItemResult
 from endivespindle.batch.submission import (
     BatchItem,
@@ -16,10 +17,17 @@
 from endivespindle.exceptions import MessageError
 from endivespindle.serving.configuration import Route
 
-__all__ = ["decode_submission", "encode_page", "parse_job_path"]
+__all__ = ["JOB_CALLS", "decode_submission", "encode_page"]
 
-_JOB_PREFIX = "/lots/"
-_ITEM_PREFIX = "/items/"
+JOB_CALLS = JobCallSyntax(
+    actions={
+        ("GET", "/lots/"): JobAction.READ,
+        ("DELETE", "/lots/"): JobAction.END,
+        ("GET", "/items/"): JobAction.READ_ITEM,
+    },
+    item_parameter="id",
+    position_parameter="after",
+)
 # Header with the trainer's estimate of the number of output tokens.
 _LENGTH_HINT = "x-length-hint"
 _PROMPT_PARTS = "x-prompt-prefix"
@@ -65,15 +73,6 @@
     results: list[_Result]
 
 
-def parse_job_path(path: str) -> tuple[str, str] | None:
-    """Returns the target of a job request (`job` or `item`) and the job id."""
-    for prefix, target in ((_JOB_PREFIX, "job"), (_ITEM_PREFIX, "item")):
-        job_id = path.removeprefix(prefix)
-        if job_id != path and job_id and "/" not in job_id:
-            return target, job_id
-    return None
-
-
 def decode_submission(
     body: bytes,
     *,
--- a/endivespindle/platform/tests/test_streams_and_jobs.py
+++ b/endivespindle/platform/tests/test_streams_and_jobs.py
@@ -1,15 +1,21 @@
-"""Parsing of event streams, and paths and bodies of batch job requests."""
+"""Parsing of event streams, and calls and bodies of batch jobs."""
 
 import msgspec
 import pytest
 
+from endivespindle.batch.job_calls import (
+    JobAction,
+    JobCall,
+    job_call_methods,
+    parse_job_call,
+)
 from endivespindle.batch.progress import ItemOutcome, ItemResult
 from endivespindle.exceptions import BackendServerError, MessageError
 from endivespindle.platform.event_stream import EventStreamParser
 from endivespindle.platform.jobs import (
+    JOB_CALLS,
     decode_submission,
     encode_page,
-    parse_job_path,
 )
 from endivespindle.serving.configuration import RouteKind
 from endivespindle.serving.tests.configs import route
@@ -97,15 +103,59 @@
     assert page["results"][0]["versions"] == [6, 7]
 
 
+@pytest.mark.parametrize(
+    ("method", "target", "expected"),
+    [
+        ("GET", "/lots/j1", JobCall(action=JobAction.READ, job_id="j1")),
+        (
+            "GET",
+            "/lots/j1?after=7&id=x",
+            JobCall(action=JobAction.READ, job_id="j1", position="7"),
+        ),
+        (
+            "GET",
+            "/lots/j1?after=",
+            JobCall(action=JobAction.READ, job_id="j1", position=""),
+        ),
+        ("DELETE", "/lots/j1", JobCall(action=JobAction.END, job_id="j1")),
+        (
+            "GET",
+            "/items/j1?id=a%2Fb&id=c",
+            JobCall(action=JobAction.READ_ITEM, job_id="j1", item_id="a/b"),
+        ),
+        ("GET", "/items/j1", None),
+        ("GET", "/items/j1?id=", None),
+        ("GET", "/items/j1?ID=x", None),
+        ("DELETE", "/items/j1?id=x", None),
+        ("POST", "/lots/j1", None),
+        ("PUT", "/lots/j1", None),
+        ("HEAD", "/lots/j1", None),
+        ("get", "/lots/j1", None),
+        ("GET", "/lots/", None),
+        ("GET", "/lots", None),
+        ("GET", "/lots/j1/", None),
+        ("GET", "/lots/j1/x", None),
+        ("GET", "//lots/j1", None),
+        ("GET", "/a/lots/j1", None),
+        ("GET", "/?x=/lots/j1", None),
+        ("GET", "/else/j1", None),
+        ("GET", "", None),
+        ("GET", "*", None),
+    ],
+)
+def test_only_the_calls_of_a_job_are_recognised(method, target, expected):
+    assert parse_job_call(method, target, syntax=JOB_CALLS) == expected
+
+
 @pytest.mark.parametrize(
     ("path", "expected"),
     [
-        ("/lots/j1", ("job", "j1")),
-        ("/items/j1", ("item", "j1")),
-        ("/lots/", None),
-        ("/lots/j1/x", None),
-        ("/else/j1", None),
+        ("/lots/j1", ["GET", "DELETE"]),
+        ("/items/j1?id=x", ["GET"]),
+        ("/lots/", []),
+        ("/lots/j1/x", []),
+        ("/else/j1", []),
     ],
 )
-def test_job_paths_are_parsed(path, expected):
-    assert parse_job_path(path) == expected
+def test_methods_that_make_a_path_a_job_call_are_told(path, expected):
+    assert job_call_methods(path, syntax=JOB_CALLS) == expected
--- a/endivespindle/runtime/ingress.py
+++ b/endivespindle/runtime/ingress.py
@@ -10,6 +10,7 @@
 import msgspec
 from aiohttp import web
 
+from endivespindle.batch.job_calls import JobAction, JobCall, parse_job_call
 from endivespindle.batch.submission import BatchSubmission
 from endivespindle.core.clock import Clock
 from endivespindle.core.decoding import parse_count
@@ -20,9 +21,9 @@
     refusal_headers,
 )
 from endivespindle.platform.jobs import (
+    JOB_CALLS,
     decode_submission,
     encode_page,
-    parse_job_path,
 )
 from endivespindle.runtime.forward_plan import ForwardPlan
 from endivespindle.runtime.forwarding import Forwarder
@@ -152,25 +153,24 @@
         """Handles one request and returns its response."""
         start_s = self._clock.monotonic()
         metadata = parse_request_metadata(request.headers)
-        path = request.raw_path.partition("?")[0]
-        host = request.headers.get("Host", "").partition(":")[0]
-        job_target = parse_job_path(path)
-        job_fields = {"job_id": job_target[1]} if job_target else {}
-        outcome, route, status = "answered", "", None
+        # Looked for before any route: whether a job can be reached must not
+        # depend on the configuration, which changes while the job is kept.
+        job_call = parse_job_call(
+            request.method, request.raw_path, syntax=JOB_CALLS
+        )
+        job_fields = {"job_id": job_call.job_id} if job_call else {}
+        outcome, route = "answered", job_call.action.value if job_call else ""
+        status = None
         self.active_requests += 1
         try:
             async with self._until_shutdown():
-                if (
-                    job_target
-                    and self._config.route(host=host, path=path) is None
-                ):
-                    route = job_target[0]
-                    resp = await self._serve_job_call(
-                        request, job_target, metadata
-                    )
+                if job_call is not None:
+                    resp = await self._serve_job_call(job_call, metadata)
                 else:
                     permit = self._config.permit(
-                        host=host, path=path, key=metadata.key
+                        host=request.headers.get("Host", "").partition(":")[0],
+                        path=request.raw_path.partition("?")[0],
+                        key=metadata.key,
                     )
                     route = permit.route.name
                     resp = await self._serve(request, permit, metadata, start_s)
@@ -369,10 +369,7 @@
         return web.Response(status=202)
 
     async def _serve_job_call(
-        self,
-        request: web.BaseRequest,
-        job_target: tuple[str, str],
-        metadata: RequestMetadata,
+        self, call: JobCall, metadata: RequestMetadata
     ) -> web.StreamResponse:
         account = ""
         if (
@@ -384,14 +381,13 @@
             limit_s=self._clock.monotonic() + _JOB_CALL_LIMIT_S,
             may_repeat=False,
         )
-        target_kind, job_id = job_target
-        job_request = JobRequest(job_id=job_id)
-        if target_kind == "item":
-            job_request.item_id = request.query.get("id", "")
-        elif request.method == "DELETE":
-            job_request.end = True
-        else:
-            job_request.after = _parse_position(request.query.get("after", "0"))
+        job_request = JobRequest(
+            job_id=call.job_id,
+            item_id=call.item_id,
+            end=call.action is JobAction.END,
+        )
+        if call.action is JobAction.READ:
+            job_request.after = _parse_position(call.position)
             job_request.wait_s = min(_MAX_RESULT_WAIT_S, metadata.wait_s or 0.0)
         reply = await self._jobs.query(job_request)
         if reply.state is JobReplyStatus.MISSING:
--- a/tests/test_job_calls.py
+++ b/tests/test_job_calls.py
@@ -1,9 +1,227 @@
 """Calls of batch jobs, on a host whose routes match their paths as well."""
 
 import asyncio
+import base64
+import json
+
+import pytest
 
 from endivespindle.runtime.log_trace import parse_log, trace_lines
-from tests.node_fleet import NodeFleet
+from tests.node_fleet import HOST, NodeFleet, config
+
+_JOB = "9a64f1c0837be25d"
+_ITEMS = 4
+# This item waits for its reward call, so it is not listed.
+_UNLISTED = f"{_JOB}-open"
+
+
+def _submission():
+    items = [
+        {
+            "id": f"{_JOB}-{n}",
+            "path": "/steps/x",
+            "headers": {"X-Model": "m"},
+            "body": base64.b64encode(b"prompt").decode(),
+            "tokens": 10,
+            "group": "g0",
+        }
+        for n in range(_ITEMS)
+    ]
+    waiting = {
+        **items[0],
+        "id": _UNLISTED,
+        "group": "g1",
+        "scorer": {
+            "id": "score-1",
+            "host": "no-route.example",
+            "path": "/score",
+            "body": base64.b64encode(b"{}").decode(),
+        },
+    }
+    return json.dumps(
+        {
+            "step": 0,
+            "model": "m",
+            "minVersion": 1,
+            "groupCount": 2,
+            "items": [*items, waiting],
+        }
+    ).encode()
+
+
+_DEFAULT_ROUTES = {
+    "idempotent": {"kind": "idempotent"},
+    "anonymous": {"kind": "idempotent", "anonymous": True},
+    "non_idempotent": {"kind": "non_idempotent"},
+    "rollout": {"kind": "rollout", "dueMs": 7500, "maxWaitS": 40},
+}
+
+
+def _config_with_default_route(version, fields, *, has_own_route=True):
+    """Returns a configuration whose route `/` matches all paths."""
+    doc = config(version=version)
+    if not has_own_route:
+        doc["routes"] = [r for r in doc["routes"] if r["name"] != "steps"]
+    doc["routes"].append(
+        {
+            "name": "default",
+            "host": HOST,
+            "pathPrefix": "/",
+            "timeoutMs": 5000,
+            "targetLatencyMs": 500,
+            "priority": 2,
+            "service": "plain",
+            "maxAttempts": 3,
+            **fields,
+        }
+    )
+    return doc
+
+
+async def _apply(fleet, doc):
+    """Writes a configuration and waits until both gateways have it."""
+    fleet.platform.write("config", "main", doc)
+    taken = f'"version":{doc["version"]},"before":'
+
+    def is_taken():
+        return all(
+            taken in fleet.nodes[name].log.read_text() for name in ("g1", "g2")
+        )
+
+    await fleet.until(is_taken)
+
+
+async def _submit_and_read(fleet):
+    status, _, _ = await fleet.call(
+        "g1",
+        "POST",
+        "/steps/1",
+        body=_submission(),
+        **{"X-Request-Id": _JOB},
+    )
+    assert status == 202
+
+    async def are_listed():
+        return len((await _page(fleet, "g1"))["results"]) == _ITEMS
+
+    await fleet.until(are_listed)
+    return (await _page(fleet, "g1"))["results"]
+
+
+async def _page(fleet, node, **headers):
+    status, _, body = await fleet.call(
+        node, "GET", f"/lots/{_JOB}?after=0", **headers
+    )
+    assert status == 200
+    return json.loads(body)
+
+
+def _runs(fleet):
+    return {run[0] for s in (*fleet.plain, *fleet.engines) for run in s.runs}
+
+
+@pytest.mark.parametrize("kind", list(_DEFAULT_ROUTES))
+def test_no_route_takes_the_calls_of_a_batch_job(tmp_path, kind):
+    """A version that added a route hid the jobs of its host for good."""
+
+    async def run():
+        async with NodeFleet(tmp_path) as fleet:
+            results = await _submit_and_read(fleet)
+            before = _runs(fleet)
+            for version, has_own_route in ((5, True), (6, False)):
+                await _apply(
+                    fleet,
+                    _config_with_default_route(
+                        version,
+                        _DEFAULT_ROUTES[kind],
+                        has_own_route=has_own_route,
+                    ),
+                )
+                for node in ("g1", "g2"):
+                    await _check_calls(fleet, node, results)
+                    await _check_calls(
+                        fleet, node, results, **{"X-Request-Id": node}
+                    )
+            for node in ("g1", "g2"):
+                status, _, _ = await fleet.call(node, "DELETE", f"/lots/{_JOB}")
+                assert status == 200
+            page = await _page(fleet, "g2")
+            assert page["results"][:_ITEMS] == results
+            assert _runs(fleet) == before
+
+    asyncio.run(run())
+
+
+async def _check_calls(fleet, node, results, **headers):
+    """Checks the calls of the open job, and of one that does not exist."""
+    page = await _page(fleet, node, **headers)
+    assert page["results"][:_ITEMS] == results
+    status, _, body = await fleet.call(
+        node, "GET", f"/items/{_JOB}?id={_UNLISTED}", **headers
+    )
+    assert (status, body) == (200, b"prompt")
+    for method, path in (
+        ("GET", "/lots/none"),
+        ("DELETE", "/lots/none"),
+        ("GET", "/items/none?id=x"),
+    ):
+        for key, expected in (("k1", 404), ("k9", 401), ("", 401)):
+            status, _, _ = await fleet.call(
+                node, method, path, key=key, **headers
+            )
+            assert status == expected, (method, path, key)
+
+
+def test_requests_that_only_resemble_calls_of_a_job_go_by_their_route(
+    tmp_path,
+):
+    """An application keeps its own paths beside those of batch jobs."""
+
+    async def run():
+        async with NodeFleet(tmp_path) as fleet:
+            await _submit_and_read(fleet)
+            requests = [
+                (method, path)
+                for method, path in (
+                    ("POST", f"/lots/{_JOB}"),
+                    ("PUT", f"/lots/{_JOB}"),
+                    ("GET", f"/lots/{_JOB}/"),
+                    ("GET", f"/lots/{_JOB}/pages"),
+                    ("DELETE", f"/lots/{_JOB}/pages"),
+                    ("GET", "/lots/"),
+                    ("GET", "/lots"),
+                    ("GET", f"/LOTS/{_JOB}"),
+                    ("GET", f"/a/lots/{_JOB}"),
+                    ("POST", f"/items/{_JOB}?id={_UNLISTED}"),
+                    ("DELETE", f"/items/{_JOB}?id={_UNLISTED}"),
+                    ("GET", f"/items/{_JOB}"),
+                    ("GET", f"/items/{_JOB}?id="),
+                    ("GET", f"/items/{_JOB}/x?id={_UNLISTED}"),
+                )
+            ]
+            for number, (method, path) in enumerate(requests):
+                status, _, _ = await fleet.call(
+                    "g2", method, path, **{"X-Request-Id": f"n{number}"}
+                )
+                assert status == 404, (method, path)
+            assert not any(f"n{n}" in _runs(fleet) for n in range(99))
+            await _apply(
+                fleet,
+                _config_with_default_route(5, _DEFAULT_ROUTES["idempotent"]),
+            )
+            for number, (method, path) in enumerate(requests):
+                status, headers, _ = await fleet.call(
+                    "g2", method, path, **{"X-Request-Id": f"a{number}"}
+                )
+                assert status == 200, (method, path)
+                assert headers["X-Server-Stamp"].endswith(f".a{number}")
+            # None of them ended the job.
+            status, _, _ = await fleet.call(
+                "g1", "GET", f"/items/{_JOB}?id={_UNLISTED}"
+            )
+            assert status == 200
+
+    asyncio.run(run())
 
 
 def test_the_log_names_the_job_of_a_call_and_the_status(tmp_path):
