Tell paths of job calls apart in explain-placement

Cause: the report looked up the route alone, so for /lots/ID it named a service that never gets such a call, or no route at all.

Change: the report has the methods with which the path is a call of a batch job; the gateway answers these itself. A reader or a gateway of an earlier version leaves the field out.

Test: test_a_running_gateway_tells_where_a_request_would_go asks for /lots/j1; before, the exit code was 1 and the text "no route matches".

--- a/endivespindle/cli/placement.py
+++ b/endivespindle/cli/placement.py
@@ -49,7 +49,8 @@
         for candidates in report.candidates.values()
         for candidate in candidates
     )
-    return ExitCode.OK if is_placed else ExitCode.FOUND
+    is_served = is_placed or bool(report.job_call_methods)
+    return ExitCode.OK if is_served else ExitCode.FOUND
 
 
 async def _ask(node: str, host: str, path: str) -> PlacementReport:
@@ -73,6 +74,9 @@
         f"configuration  version {report.config_version}, confirmed "
         f"{report.config_age_s:.2f} s ago"
     )
+    if report.job_call_methods:
+        methods = " or ".join(report.job_call_methods)
+        print(f"with {methods}, a call of a batch job; the gateway answers it")
     if report.route is None:
         print("no route matches this host and path")
         return
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -8,7 +8,9 @@
 from aiohttp import web
 
 from endivespindle.backends.body_memory import BodyMemory
+from endivespindle.batch.job_calls import job_call_methods
 from endivespindle.peers.tasks import end_tasks
+from endivespindle.platform.jobs import JOB_CALLS
 from endivespindle.platform.servers import PlatformServerApi
 from endivespindle.runtime.borrowed_path import BorrowingServerApi
 from endivespindle.runtime.caller_server import close_server, open_server
@@ -524,6 +526,7 @@
             config_age_s=round(config.confirmation_age_s(), 2)
             if config.version
             else -1.0,
+            job_call_methods=job_call_methods(path, syntax=JOB_CALLS),
         )
         route = config.route(host=host, path=path)
         if route is None:
--- a/endivespindle/serving/placement_report.py
+++ b/endivespindle/serving/placement_report.py
@@ -64,6 +64,8 @@
         kind: Kind of the route.
         path: How its servers are reached, by service.
         candidates: Servers by service, the best first.
+        job_call_methods: Methods with which the path is a call of a batch job,
+            which the VM answers itself whatever the route.
     """
 
     vm: str
@@ -74,6 +76,7 @@
     kind: str | None = None
     path: dict[str, str] = {}
     candidates: dict[str, list[PlacementCandidate]] = {}
+    job_call_methods: list[str] = []
 
 
 # What keeps a server from new requests, in the order in which it is told.
--- a/tests/test_explain_placement.py
+++ b/tests/test_explain_placement.py
@@ -83,6 +83,9 @@
             code, text = await _explain(HOST, "/no/", "--node", address)
             assert code == ExitCode.FOUND
             assert "no route" in text
+            code, text = await _explain(HOST, "/lots/j1", "--node", address)
+            assert code == ExitCode.OK
+            assert "with GET or DELETE, a call of a batch job" in text
             assert not any(engine.runs for engine in fleet.plain)
 
     asyncio.run(play())
