Submit batch jobs with POST only

Change: another method on such a route is refused with 405 as not run (503 while a newer configuration may be in force), before its body is read.

Test: test_only_a_post_submits_a_batch_job; before: GET 202 == 405.

--- a/endivespindle/runtime/ingress.py
+++ b/endivespindle/runtime/ingress.py
@@ -57,6 +57,8 @@
 _STATUS_NOT_RUN = 503
 _STATUS_OUTCOME_UNKNOWN = 504
 _OUTCOME_CALLER_GONE = "caller_gone"
+# Routes of batch jobs have no other requests than submissions.
+_SUBMIT_METHOD = "POST"
 # Time within which a call for a job is answered: a read of the store, its owner
 # asked, and the wait for a result.
 _JOB_CALL_LIMIT_S = 2.0
@@ -246,6 +248,11 @@
     ) -> web.StreamResponse:
         if not metadata.request_id:
             raise RefusedError(Reason.MALFORMED, "The request has no id.")
+        if permit.route.kind is RouteKind.BATCH and (
+            request.method != _SUBMIT_METHOD
+        ):
+            self._config.check_final_refusal()
+            raise RefusedError(Reason.METHOD_NOT_ALLOWED)
         permitted = _PermittedRequest(
             request=request,
             permit=permit,
--- a/tests/test_job_calls.py
+++ b/tests/test_job_calls.py
@@ -240,3 +240,24 @@
             assert [call.fields["status"] for call in calls] == [404]
 
     asyncio.run(run())
+
+
+def test_only_a_post_submits_a_batch_job(tmp_path):
+    """Any method under the route of batch jobs created one."""
+
+    async def run():
+        async with NodeFleet(tmp_path) as fleet:
+            for method in ("GET", "PUT", "DELETE", "PATCH"):
+                status, _, _ = await fleet.call(
+                    "g1",
+                    method,
+                    "/steps/1",
+                    body=_submission(),
+                    **{"X-Request-Id": _JOB},
+                )
+                assert status == 405, method
+            status, _, _ = await fleet.call("g2", "GET", f"/lots/{_JOB}")
+            assert status == 404
+            await _submit_and_read(fleet)
+
+    asyncio.run(run())
