Guard other methods on the paths of health checks in the entry VM

A refusal became a 500 with a text body, and a shutdown did not wait for such a request.

Change: the handler that the router chose decides, not the path.

Test: test_other_methods_on_the_paths_of_operators_go_by_their_route; before: 500 == 404 in 3 of 3 cases.

--- a/endivespindle/gateway/app.py
+++ b/endivespindle/gateway/app.py
@@ -1,6 +1,6 @@
 """The HTTP application of one entry VM."""
 
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 
 from aiohttp import web
 from aiohttp.typedefs import Handler, Middleware
@@ -25,7 +25,6 @@
 
 _Waiting = Callable[[web.Request], Coroutine[None, None, web.Response]]
 
-_UNGUARDED = ("/healthz", "/readyz", "/metrics")
 _HTTP_REASONS = {
     404: Reason.ROUTE_UNKNOWN,
     405: Reason.METHOD_NOT_ALLOWED,
@@ -43,7 +42,9 @@
 ) -> web.Application:
     """Returns the application with every route of the service."""
     app = web.Application(
-        middlewares=[_guard(ctx)],
+        middlewares=[
+            _guard(ctx, (operators.health, operators.ready, operators.metrics))
+        ],
         client_max_size=ctx.settings.limits.max_body_bytes,
     )
     trainer = "/rollout/v1/trainers/{trainer}"
@@ -67,15 +68,21 @@
     return app
 
 
-def _guard(ctx: NodeContext) -> Middleware:
-    """Names each request, and turns refusals into typed bodies."""
+def _guard(ctx: NodeContext, unguarded: Collection[_Waiting]) -> Middleware:
+    """Names each request, and turns refusals into typed bodies.
+
+    Args:
+        ctx: Shared state of the VM.
+        unguarded: Handlers that serve also while the VM leaves. The handler
+            decides and not the path, which may be that of a route as well.
+    """
 
     @web.middleware
     async def guard(
         request: web.Request, handler: Handler
     ) -> web.StreamResponse:
         request[REQUEST_ID] = ctx.ids.new("r")
-        if request.path in _UNGUARDED:
+        if request.match_info.handler in unguarded:
             resp = await handler(request)
         else:
             resp = await _guarded(ctx, request, handler)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -234,6 +234,17 @@
         assert ctx.drain.state == "stopped"
 
 
+@pytest.mark.parametrize("path", ["/healthz", "/readyz", "/metrics"])
+async def test_other_methods_on_the_paths_of_operators_go_by_their_route(path):
+    """They passed the guard: errors were 500, and a shutdown cut them."""
+    async with _running() as client:
+        async with client.post(path, b"x") as resp:
+            assert resp.status == 404
+            assert (await resp.json())["error"]["reason"] == "route_unknown"
+        async with client.session.get(client.base + path) as resp:
+            assert resp.status == 200
+
+
 async def test_receipts_add_up_to_what_is_counted():
     async with _running() as client:
         ctx = client.vm.ctx
