Compare client accounts before a batch job is read or ended

Seen (read by reviewers, shown here by a test): DELETE /lots/ID with the valid key of another client account is answered 403, and the job is ended all the same.

Cause: Ingress let the job service act and compared the accounts in its reply.

Change: JobRequest carries the account of the caller; the owner, and a node that read the job from the store, compare it before anything is done. An owner of an earlier version ignores the field, and one that gets none answers as before.

--- a/endivespindle/batch/job_calls.py
+++ b/endivespindle/batch/job_calls.py
@@ -10,6 +10,7 @@
     "JobCall",
     "JobCallSyntax",
     "job_call_methods",
+    "may_access_job",
     "parse_job_call",
 ]
 
@@ -94,6 +95,17 @@
     return [method for method, own in syntax.actions if own == prefix]
 
 
+def may_access_job(*, job_account: str, caller_account: str | None) -> bool:
+    """Returns whether a caller may read and end a batch job.
+
+    Args:
+        job_account: Client account of the job.
+        caller_account: Client account of the caller; None if the configuration
+            has no client accounts.
+    """
+    return caller_account is None or caller_account == job_account
+
+
 def _split_path(path: str) -> tuple[str, str]:
     """Splits a path of two segments into its prefix and the job ID.
 
--- a/endivespindle/runtime/ingress.py
+++ b/endivespindle/runtime/ingress.py
@@ -10,7 +10,12 @@
 import msgspec
 from aiohttp import web
 
-from endivespindle.batch.job_calls import JobAction, JobCall, parse_job_call
+from endivespindle.batch.job_calls import (
+    JobAction,
+    JobCall,
+    may_access_job,
+    parse_job_call,
+)
 from endivespindle.batch.submission import BatchSubmission
 from endivespindle.core.clock import Clock
 from endivespindle.core.decoding import parse_count
@@ -378,7 +383,7 @@
     async def _serve_job_call(
         self, call: JobCall, metadata: RequestMetadata
     ) -> web.StreamResponse:
-        account = ""
+        account = None
         if (
             self._config.config is None
             or self._config.config.accounts is not None
@@ -392,6 +397,7 @@
             job_id=call.job_id,
             item_id=call.item_id,
             end=call.action is JobAction.END,
+            client_account=account,
         )
         if call.action is JobAction.READ:
             job_request.after = _parse_position(call.position)
@@ -399,7 +405,10 @@
         reply = await self._jobs.query(job_request)
         if reply.state is JobReplyStatus.MISSING:
             return web.Response(status=404)
-        if account and reply.client_account != account:
+        # The owner may run an earlier version, which compares nothing.
+        if not may_access_job(
+            job_account=reply.client_account, caller_account=account
+        ):
             self._config.check_final_refusal()
             raise RefusedError(Reason.WRONG_ACCOUNT)
         return _job_response(job_request, reply)
--- a/endivespindle/runtime/job_service.py
+++ b/endivespindle/runtime/job_service.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from endivespindle.batch.job import page
+from endivespindle.batch.job_calls import may_access_job
 from endivespindle.batch.ownership import preferred_owner
 from endivespindle.batch.partial_completions import ItemSnapshot
 from endivespindle.batch.progress import JobProgress
@@ -234,6 +235,10 @@
     async def query(self, req: JobRequest) -> JobReply:
         """Reads or ends a job, at its owner or after taking it over.
 
+        Returns:
+            The reply; only the client account of the job, and nothing is done,
+            if that is not the caller's.
+
         Raises:
             RefusedError: Neither the store nor an owner could confirm the
                 state of the job.
@@ -254,12 +259,14 @@
         return await self._query_stored_owner(req, unsure)
 
     async def answer_as_owner(self, req: JobRequest) -> JobReply:
-        """Reads or ends a job if this node owns it."""
+        """Reads or ends a job if this node owns it and the caller may."""
         job = self._runner.jobs.get(req.job_id)
         if job is None and req.stored_owner == self._runner.owner_id:
             job = await self._adopt(req.job_id)
         if job is None or job.is_lost:
             return JobReply(state=JobReplyStatus.NOT_OWNER)
+        if not _may_access(job.state.submission, req):
+            return _foreign_reply(job.state.submission)
         if req.end:
             return await self._end(job)
         if req.item_id:
@@ -484,6 +491,8 @@
             raise _unavailable_error() from exc
         if stored is None:
             return JobReply(state=JobReplyStatus.MISSING)
+        if not _may_access(stored.submission, req):
+            return _foreign_reply(stored.submission)
         owner_id = stored.progress.owner
         self._cache_owner(req.job_id, owner_id)
         owner = self._fleet.find_owner(owner_id)
@@ -698,6 +707,20 @@
     )
 
 
+def _may_access(submission: BatchSubmission, req: JobRequest) -> bool:
+    return may_access_job(
+        job_account=submission.client_account,
+        caller_account=req.client_account,
+    )
+
+
+def _foreign_reply(submission: BatchSubmission) -> JobReply:
+    """Returns the reply to a caller of another client account."""
+    return JobReply(
+        state=JobReplyStatus.OK, client_account=submission.client_account
+    )
+
+
 def _unavailable_error() -> RefusedError:
     return RefusedError(
         Reason.PLATFORM_UNAVAILABLE, retry_after_s=_RETRY_AFTER_S
--- a/endivespindle/runtime/peer_client.py
+++ b/endivespindle/runtime/peer_client.py
@@ -59,6 +59,9 @@
         item_id: Item whose body to return instead; empty for results.
         stored_owner: Owner by the store, if the sender has just read it. If the
             receiver is that owner and does not know so yet, it adopts the job.
+        client_account: Client account of the caller, without which the owner
+            tells only the account of the job and does nothing; None if it need
+            not be compared. Earlier versions neither send nor compare it.
     """
 
     job_id: str
@@ -67,6 +70,7 @@
     end: bool = False
     item_id: str = ""
     stored_owner: str = ""
+    client_account: str | None = None
 
 
 class JobReply(msgspec.Struct, kw_only=True):
--- a/tests/test_job_calls.py
+++ b/tests/test_job_calls.py
@@ -116,6 +116,11 @@
     return json.loads(body)
 
 
+def _is_ended(fleet):
+    progress = fleet.platform.read("job-progress", _JOB)
+    return progress["spec"].get("ended", False)
+
+
 def _runs(fleet):
     return {run[0] for s in (*fleet.plain, *fleet.engines) for run in s.runs}
 
@@ -261,3 +266,43 @@
             await _submit_and_read(fleet)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("is_owner_killed", [False, True])
+def test_another_client_account_neither_ends_nor_reads_a_job(
+    tmp_path, is_owner_killed
+):
+    """The end was carried out before the accounts were compared."""
+
+    async def run():
+        async with NodeFleet(tmp_path) as fleet:
+            doc = config(version=5)
+            doc["tenants"].append({"name": "other", "apiKeys": ["k2"]})
+            await _apply(fleet, doc)
+            results = await _submit_and_read(fleet)
+            nodes = ["g1", "g2"]
+            if is_owner_killed:
+                progress = fleet.platform.read("job-progress", _JOB)
+                owner = progress["spec"]["owner"].partition("/")[0]
+                fleet.kill(owner)
+                await fleet.nodes[owner].proc.wait()
+                nodes.remove(owner)
+            for node in nodes:
+                for method, path in (
+                    ("DELETE", f"/lots/{_JOB}"),
+                    ("GET", f"/lots/{_JOB}?after=0"),
+                    ("GET", f"/items/{_JOB}?id={_UNLISTED}"),
+                ):
+                    status, _, body = await fleet.call(
+                        node, method, path, key="k2"
+                    )
+                    assert status == 403, (node, method, path)
+                    assert b"prompt" not in body
+            assert not _is_ended(fleet)
+            for node in nodes:
+                await _check_calls(fleet, node, results)
+            status, _, _ = await fleet.call(nodes[0], "DELETE", f"/lots/{_JOB}")
+            assert status == 200
+            assert _is_ended(fleet)
+
+    asyncio.run(run())
