Keep jobs without a client account reachable once there are accounts

Cause: the account of the caller had to equal that of the job, which is empty.

Change: such a job belongs to all callers; a valid key is needed as for any call while the configuration has accounts.

Test: test_a_job_without_a_client_account_stays_reachable; before: 403 == 200 in 2 of 2 cases. A test beside it shows that versions without the host, the account or all accounts of a job leave it reachable afterwards; it passed before too.

--- a/endivespindle/batch/job_calls.py
+++ b/endivespindle/batch/job_calls.py
@@ -99,11 +99,12 @@
     """Returns whether a caller may read and end a batch job.
 
     Args:
-        job_account: Client account of the job.
+        job_account: Client account of the job; empty if it was accepted without
+            one. It then belongs to all callers.
         caller_account: Client account of the caller; None if the configuration
             has no client accounts.
     """
-    return caller_account is None or caller_account == job_account
+    return caller_account is None or job_account in ("", caller_account)
 
 
 def _split_path(path: str) -> tuple[str, str]:
