--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -11,4 +11,5 @@
 import fleet
 import memory
 import plain
+import preempting
 PY
--- a/review/rig3/fleet.py
+++ b/review/rig3/fleet.py
@@ -11,7 +11,6 @@
 import os
 import pathlib
 import random
-import signal
 import socket
 import sys
 import tempfile
@@ -156,6 +155,9 @@
             (f"storage-{n}", "storage") for n in range(1, controllers + 1)
         ]
         self._folder = None
+        self._procs = []
+        self._starting = set()
+        self._is_closed = False
         self._network = f"127.{random.randint(20, 250)}.{os.getpid() % 250}"
         roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self._commands = {
@@ -172,12 +174,13 @@
         return self
 
     async def __aexit__(self, *exc):
-        for node in self.nodes.values():
-            if node.proc is not None and node.proc.returncode is None:
+        self._is_closed = True
+        await asyncio.gather(*self._starting, return_exceptions=True)
+        for proc in self._procs:
+            if proc.returncode is None:
                 with contextlib.suppress(ProcessLookupError):
-                    node.proc.send_signal(signal.SIGCONT)
-                    node.proc.kill()
-                await node.proc.wait()
+                    proc.kill()
+                await proc.wait()
         if self.session is not None:
             await self.session.close()
         for server in self.servers:
@@ -232,8 +235,15 @@
         )
 
     async def start(self, name):
-        """Starts the process of a node."""
-        node = self.nodes[name]
+        """Starts the process of a node; whoever is cancelled meanwhile."""
+        task = asyncio.create_task(self._start_process(self.nodes[name]))
+        self._starting.add(task)
+        task.add_done_callback(self._starting.discard)
+        await asyncio.shield(task)
+
+    async def _start_process(self, node):
+        if self._is_closed:
+            return
         env = {
             "PATH": os.environ["PATH"],
             "HOME": os.environ.get("HOME", "/tmp"),
@@ -249,7 +259,8 @@
                 stdout=log,
                 stderr=log,
             )
-        self.record.write("started", node=name, pid=node.proc.pid)
+        self._procs.append(node.proc)
+        self.record.write("started", node=node.name, pid=node.proc.pid)
 
     def signal(self, name, signum):
         """Sends a signal to a node that this script started."""
