--- a/review/11/case.py
+++ b/review/11/case.py
@@ -20,8 +20,8 @@
 ENGINES = 6
 SLOTS = 12
 # Pieces and their size lie between the means and the maxima of the sheet.
-EVENTS = 50
-EVENT_BYTES = 800
+EVENTS = 20
+EVENT_BYTES = 2000
 ITEMS = 3000 if trouble_is_on() else 36
 GROUP_SIZE = 4
 # Traffic, and the time that batch jobs have after it.
--- a/review/rig3/fleet.py
+++ b/review/rig3/fleet.py
@@ -248,7 +248,6 @@
             "PATH": os.environ["PATH"],
             "HOME": os.environ.get("HOME", "/tmp"),
             "PYTHONPATH": str(ROOT / "target/deps"),
-            "PYTHONDONTWRITEBYTECODE": "1",
             "ENDIVESPINDLE_BOOT": str(node.path),
         }
         with node.log.open("ab") as log:
