--- a/review/11/case.py
+++ b/review/11/case.py
@@ -172,7 +172,11 @@
         if answer[0] != 200:
             self._record.write("read", after=after, status=answer[0])
             return None
-        return json.loads(answer[2])["results"]
+        results = json.loads(answer[2])["results"]
+        self._record.write(
+            "read", after=after, status=answer[0], results=len(results)
+        )
+        return results
 
     async def read_all(self, seconds):
         """Reads from the start; returns the number of results read."""
@@ -199,17 +203,19 @@
             await fleet.add_server(
                 PlainServer(name=f"p{number}", service="plain")
             )
-        for number in range(ENGINES):
-            await fleet.add_server(
-                EngineServer(
-                    name=f"e{number}",
-                    service="engine",
-                    model="m",
-                    slots=SLOTS,
-                    events=EVENTS,
-                    event_bytes=EVENT_BYTES,
-                )
+        engines = [
+            EngineServer(
+                name=f"e{number}",
+                service="engine",
+                model="m",
+                slots=SLOTS,
+                events=EVENTS,
+                event_bytes=EVENT_BYTES,
             )
+            for number in range(ENGINES)
+        ]
+        for engine in engines:
+            await fleet.add_server(engine)
         await fleet.start_all()
         limit = MemoryLimit(fleet=fleet, record=record, limit_mb=MEMORY_MB)
         tasks = [
@@ -232,6 +238,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        for engine in engines:
+            record.write("run", at=engine.name, requests=len(engine.runs))
     # A result that had been read doesn't come again, or the job can't be read.
     return again < max(1, seen)
 
