Read the results of batch jobs from the store by page

Cause: an owner kept each committed result, and its events once more for later steps. To take a job over, to confirm it, or only to find its owner, a node read all parts with results and all items.

Change: an owner holds which items have a result, and the results of the progress record, which fit into one value. A reference to a part names the position and the items of its entries, so that a takeover or a confirmation reads no part. The owner of a job is found without its items in parts. Completions are kept for incomplete groups only, and within a limit; those that go along with a job are limited as well. Earlier versions ignore the new fields of a reference and drop them when they write; parts without them are read once, items only.

Tests that set results of a JobState name the items now; those of the job store read all pages and compare the order too.

--- a/endivespindle/batch/job.py
+++ b/endivespindle/batch/job.py
@@ -1,10 +1,9 @@
 """A batch job on the node that runs it."""
 
 import enum
+import sys
 from collections.abc import Mapping, Sequence
 
-import msgspec
-
 from endivespindle.batch.progress import (
     ItemFailures,
     ItemOutcome,
@@ -13,7 +12,11 @@
 from endivespindle.batch.submission import BatchItem, BatchSubmission
 from endivespindle.serving.calls import StreamEvent
 
-__all__ = ["ItemPhase", "ItemState", "JobState", "page"]
+__all__ = ["ItemPhase", "ItemState", "JobState"]
+
+
+# Memory of an item besides its body, in bytes.
+_ITEM_BYTES = 2000
 
 
 class ItemPhase(enum.StrEnum):
@@ -31,7 +34,9 @@
     Attributes:
         item: The item.
         phase: Processing phase.
-        chunks: Data of the events received, in order.
+        chunks: Data of the events received, in order; a single one with the
+            whole text once the completion is fully generated.
+        text_bytes: Memory of `chunks`, in bytes.
         versions: Weight versions that generated them, in order.
         server: Name of the server that generated the last of them.
         software: Software version of the servers that generated them.
@@ -60,6 +65,7 @@
         "reward_failures",
         "server",
         "software",
+        "text_bytes",
         "versions",
     )
 
@@ -67,6 +73,7 @@
         self.item = item
         self.phase = ItemPhase.WAITING
         self.chunks: list[str] = []
+        self.text_bytes = 0
         self.versions: list[int] = []
         self.server = ""
         self.software = ""
@@ -80,11 +87,42 @@
 
     def resume_from(self, earlier: "ItemState") -> None:
         """Copies the completion that the item had in an earlier job."""
-        self.chunks = list(earlier.chunks)
-        self.versions = list(earlier.versions)
-        self.is_generated = earlier.is_generated
-        self.server = earlier.server
-        self.software = earlier.software
+        self.restore(
+            chunks=earlier.chunks,
+            versions=earlier.versions,
+            is_generated=earlier.is_generated,
+            server=earlier.server,
+            software=earlier.software,
+        )
+
+    def restore(
+        self,
+        *,
+        chunks: Sequence[str],
+        versions: Sequence[int],
+        is_generated: bool,
+        server: str,
+        software: str,
+    ) -> None:
+        """Replaces the completion by one that was generated before."""
+        self.chunks = list(chunks)
+        self.text_bytes = sum(sys.getsizeof(chunk) for chunk in chunks)
+        self.versions = list(versions)
+        self.server = server
+        self.software = software
+        if is_generated:
+            self.finish_completion()
+
+    def finish_completion(self) -> None:
+        """Marks the completion as fully generated, and joins its events."""
+        self.is_generated = True
+        self.chunks = ["\n".join(self.chunks)]
+        self.text_bytes = sys.getsizeof(self.chunks[0])
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the item and its completion, in bytes."""
+        return self.text_bytes + len(self.item.body) + _ITEM_BYTES
 
     def may_resume_at(self, software: str) -> bool:
         """Returns whether servers of a software version may go on with it.
@@ -110,6 +148,7 @@
         if event.event_id != len(self.chunks) + 1:
             return False
         self.chunks.append(event.data)
+        self.text_bytes += sys.getsizeof(event.data)
         self.software = software
         if not self.versions or self.versions[-1] != version:
             self.versions.append(version)
@@ -119,20 +158,22 @@
         """Discards the completion, so that generation starts again."""
         self.restarts += 1
         self.chunks.clear()
+        self.text_bytes = 0
         self.versions.clear()
         self.software = ""
         self.is_generated = False
 
 
 class JobState:
-    """A batch job, its items, and its results.
+    """A batch job, its items, and the order of its results.
 
     Results keep the order in which they are committed, that is, acknowledged
-    by the store. Readers see committed results only.
+    by the store. Readers see committed results only, which they read from the
+    store: their texts are not held here.
 
     Args:
         submission: The job as accepted.
-        results: Results committed so far.
+        committed: Items with a committed result, in order.
         failures: Failures recorded so far, by item.
         ended: Whether the job was ended.
 
@@ -141,6 +182,7 @@
         service: Service whose servers run its items.
         ended: Whether the job was ended.
         items: Items without a committed result, by identity.
+        places: Place of each item in the submission, by identity.
         tokens_per_event: Tokens per stream event of the job's engines.
         cache_tokens: Capacity of the KV cache of the job's engines, in tokens;
             0 if it is not known.
@@ -148,11 +190,14 @@
 
     __slots__ = (
         "_committed",
+        "_complete_groups",
         "_generated",
+        "_missing",
         "_uncommitted",
         "cache_tokens",
         "ended",
         "items",
+        "places",
         "service",
         "submission",
         "tokens_per_event",
@@ -162,7 +207,7 @@
         self,
         *,
         submission: BatchSubmission,
-        results: Sequence[ItemResult] = (),
+        committed: Sequence[str] = (),
         failures: Mapping[str, ItemFailures] | None = None,
         ended: bool = False,
     ):
@@ -171,15 +216,18 @@
         self.ended = ended
         self.tokens_per_event = 1
         self.cache_tokens = 0
-        self._committed = list(results)
+        self._committed: list[str] = []
         self._uncommitted: list[ItemResult] = []
         self._generated: dict[str, ItemState] = {}
-        done = {result.item_id for result in results}
         self.items = {
-            item.item_id: ItemState(item=item)
-            for item in submission.items
-            if item.item_id not in done
+            item.item_id: ItemState(item=item) for item in submission.items
         }
+        self.places = {item_id: n for n, item_id in enumerate(self.items)}
+        self._missing: dict[str, int] = {}
+        for item in submission.items:
+            self._missing[item.group] = self._missing.get(item.group, 0) + 1
+        self._complete_groups = 0
+        self._commit(committed)
         for item_id, known in (failures or {}).items():
             state = self.items.get(item_id)
             if state is not None:
@@ -192,8 +240,8 @@
         return len(self.submission.items)
 
     @property
-    def committed(self) -> Sequence[ItemResult]:
-        """Results that the store acknowledged, in order."""
+    def committed(self) -> Sequence[str]:
+        """Items with a result that the store acknowledged, in order."""
         return self._committed
 
     @property
@@ -216,16 +264,14 @@
             The number by committed results alone, and the number with
             uncommitted results included.
         """
-        missing: dict[str, int] = {}
-        for item in self.submission.items:
-            missing[item.group] = missing.get(item.group, 0) + 1
-        groups = {i.item_id: i.group for i in self.submission.items}
-        for result in self._committed:
-            missing[groups[result.item_id]] -= 1
-        committed = sum(count == 0 for count in missing.values())
+        ended: dict[str, int] = {}
         for result in self._uncommitted:
-            missing[groups[result.item_id]] -= 1
-        return committed, sum(count == 0 for count in missing.values())
+            group = self._group(result.item_id)
+            ended[group] = ended.get(group, 0) + 1
+        added = sum(
+            count == self._missing[group] for group, count in ended.items()
+        )
+        return self._complete_groups, self._complete_groups + added
 
     def items_of_incomplete_groups(self) -> list[ItemState]:
         """Returns the items of groups that are not complete yet."""
@@ -233,6 +279,15 @@
         incomplete = {state.item.group for state in self.items.values()}
         return [s for s in states.values() if s.item.group in incomplete]
 
+    @property
+    def kept_bytes(self) -> int:
+        """Memory of committed completions of incomplete groups, in bytes."""
+        return sum(state.held_bytes for state in self._generated.values())
+
+    def drop_kept(self) -> None:
+        """Forgets committed completions; later jobs generate them again."""
+        self._generated.clear()
+
     def waiting(self) -> list[ItemState]:
         """Returns the items that could be sent to a server.
 
@@ -313,12 +368,40 @@
 
     def mark_committed(self, count: int) -> None:
         """Marks the first uncommitted results as committed."""
-        for result in self._uncommitted[:count]:
-            state = self.items.pop(result.item_id, None)
-            if state is not None and state.is_generated:
-                self._generated[result.item_id] = state
-        self._committed += self._uncommitted[:count]
+        item_ids = [result.item_id for result in self._uncommitted[:count]]
         del self._uncommitted[:count]
+        self._generated |= {
+            item_id: self.items[item_id]
+            for item_id in item_ids
+            if item_id in self.items and self.items[item_id].is_generated
+        }
+        self._commit(item_ids)
+
+    def _commit(self, item_ids: Sequence[str]) -> None:
+        """Counts items as committed, and forgets their completions.
+
+        Those of incomplete groups are kept: a later job may ask for them again.
+        """
+        self._committed += item_ids
+        has_complete_group = False
+        for item_id in item_ids:
+            self.items.pop(item_id, None)
+            if item_id not in self.places:
+                continue
+            group = self._group(item_id)
+            self._missing[group] -= 1
+            if not self._missing[group]:
+                self._complete_groups += 1
+                has_complete_group = True
+        if has_complete_group:
+            self._generated = {
+                item_id: state
+                for item_id, state in self._generated.items()
+                if self._missing[state.item.group]
+            }
+
+    def _group(self, item_id: str) -> str:
+        return self.submission.items[self.places[item_id]].group
 
     def has_timed_out(self, *, age_s: float) -> bool:
         """Returns whether the job's items have reached their maximum wait.
@@ -345,25 +428,3 @@
             return
         state.phase = ItemPhase.ENDED
         self._uncommitted.append(result)
-
-
-def page(
-    results: Sequence[ItemResult], *, after: int, max_bytes: int
-) -> Sequence[ItemResult]:
-    """Returns one page of results.
-
-    The page has at least one result, if there is any after the position.
-
-    Args:
-        results: All results.
-        after: Position of the first result of the page, from 0.
-        max_bytes: Maximum encoded size of the page's results.
-    """
-    size = 0
-    end = after
-    for result in results[after:]:
-        size += len(msgspec.json.encode(result))
-        if size > max_bytes and end > after:
-            break
-        end += 1
-    return results[after:end]
--- a/endivespindle/batch/partial_completions.py
+++ b/endivespindle/batch/partial_completions.py
@@ -1,6 +1,7 @@
 """Reuse of completions after their job has ended or changed its owner."""
 
-from collections.abc import Iterable
+import sys
+from collections.abc import Iterable, Sequence
 
 import msgspec
 
@@ -11,6 +12,7 @@
 __all__ = [
     "ItemSnapshot",
     "PartialCompletionCache",
+    "limit_snapshots",
     "restore_items",
     "snapshot_items",
 ]
@@ -32,23 +34,35 @@
 
     Args:
         clock: Clock of this VM.
+        max_bytes: Most memory for completions, in bytes; the oldest are dropped
+            beyond it.
+
+    Attributes:
+        held_bytes: Memory of the completions that are kept now, in bytes.
     """
 
-    __slots__ = ("_clock", "_completions")
+    __slots__ = ("_clock", "_completions", "_max_bytes", "held_bytes")
 
-    def __init__(self, *, clock: Clock):
+    def __init__(self, *, clock: Clock, max_bytes: int):
         self._clock = clock
-        self._completions: dict[str, tuple[float, ItemState]] = {}
+        self._max_bytes = max_bytes
+        self._completions: dict[str, tuple[float, int, ItemState]] = {}
+        self.held_bytes = 0
 
     def store(self, job: JobState) -> None:
         """Stores the completions of an ended job's incomplete groups."""
         now_s = self._clock.monotonic()
         for state in job.items_of_incomplete_groups():
             if state.chunks:
-                self._completions.pop(state.item.item_id, None)
-                self._completions[state.item.item_id] = (now_s, state)
-        while len(self._completions) > _MAX_COMPLETIONS:
-            self._completions.pop(next(iter(self._completions)))
+                self._pop(state.item.item_id)
+                size = state.held_bytes
+                self._completions[state.item.item_id] = (now_s, size, state)
+                self.held_bytes += size
+        while (
+            len(self._completions) > _MAX_COMPLETIONS
+            or self.held_bytes > self._max_bytes
+        ):
+            self._pop(next(iter(self._completions)))
 
     def restore(self, job: JobState) -> int:
         """Moves the completions that a new job may use into it.
@@ -60,7 +74,7 @@
         sub = job.submission
         used = 0
         for item_id, state in job.items.items():
-            stored_s, cached = self._completions.pop(item_id, (0.0, None))
+            stored_s, cached = self._pop(item_id)
             if cached is None or stored_s < oldest_s or state.chunks:
                 continue
             is_usable = min(cached.versions, default=0) >= sub.min_version
@@ -71,6 +85,11 @@
                 used += 1
         return used
 
+    def _pop(self, item_id: str) -> tuple[float, ItemState | None]:
+        stored_s, size, state = self._completions.pop(item_id, (0.0, 0, None))
+        self.held_bytes -= size
+        return stored_s, state
+
 
 class ItemSnapshot(msgspec.Struct, kw_only=True, frozen=True):
     """Generation progress of an uncommitted item, sent to a new job owner.
@@ -133,6 +152,33 @@
     ]
 
 
+def limit_snapshots(
+    snapshots: Sequence[ItemSnapshot], *, max_bytes: int
+) -> list[ItemSnapshot]:
+    """Returns snapshots without the completions that exceed a size.
+
+    Load pattern: a node takes over a job with some hundred long completions.
+    Both nodes hold all that is sent several times over while it is encoded,
+    sent and decoded. Whole completions are kept first, then the longest.
+
+    Args:
+        snapshots: Snapshots of a job's items.
+        max_bytes: Most memory for the completions, in bytes.
+    """
+    sizes = {s.item_id: sum(map(sys.getsizeof, s.pieces)) for s in snapshots}
+    limited = []
+    for snapshot in sorted(
+        snapshots, key=lambda s: (not s.is_whole, -sizes[s.item_id])
+    ):
+        max_bytes -= sizes[snapshot.item_id]
+        if max_bytes < 0:
+            snapshot = msgspec.structs.replace(
+                snapshot, pieces=[], versions=[], is_whole=False
+            )
+        limited.append(snapshot)
+    return limited
+
+
 def restore_items(job: JobState, snapshots: Iterable[ItemSnapshot]) -> int:
     """Applies the previous owner's snapshots to a job.
 
@@ -153,12 +199,16 @@
         if snapshot.is_terminated:
             job.terminate_item(state)
             continue
-        if len(state.chunks) >= len(snapshot.pieces):
+        if state.is_generated or (
+            not snapshot.is_whole and len(state.chunks) >= len(snapshot.pieces)
+        ):
             continue
-        state.chunks = list(snapshot.pieces)
-        state.versions = list(snapshot.versions)
-        state.server = snapshot.server
-        state.software = snapshot.software
-        state.is_generated = snapshot.is_whole
+        state.restore(
+            chunks=snapshot.pieces,
+            versions=snapshot.versions,
+            is_generated=snapshot.is_whole,
+            server=snapshot.server,
+            software=snapshot.software,
+        )
         used += 1
     return used
--- a/endivespindle/batch/progress.py
+++ b/endivespindle/batch/progress.py
@@ -54,13 +54,29 @@
 class ResultPart(msgspec.Struct, kw_only=True, frozen=True):
     """Reference to an object that holds consecutive results.
 
+    A result that does not fit into one object is divided into fragments, which
+    are entries of their own.
+
     Attributes:
         name: Name of the object.
-        count: Number of results in it.
+        count: Number of entries in it.
+        first: Position of its first entry's result in the job.
+        items: Place of each entry's item in the submission. A node of an
+            earlier version leaves out `first` and `items`.
     """
 
     name: str
     count: int
+    first: int = -1
+    items: tuple[int, ...] = ()
+
+    def is_indexed(self, *, total: int) -> bool:
+        """Returns whether it tells what it holds of a job's `total` items."""
+        return (
+            self.first >= 0
+            and len(self.items) == self.count
+            and all(0 <= place < total for place in self.items)
+        )
 
 
 class JobProgress(msgspec.Struct, kw_only=True, frozen=True):
--- a/endivespindle/batch/tests/test_job.py
+++ b/endivespindle/batch/tests/test_job.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from endivespindle.batch.job import ItemPhase, JobState, page
+from endivespindle.batch.job import ItemPhase, JobState
 from endivespindle.batch.progress import ItemOutcome, ItemResult
+from endivespindle.batch.result_positions import page
 from endivespindle.batch.tests.jobs import event, item, submission
 
 
@@ -36,7 +37,7 @@
     job.complete_item(job.items["i1"], score="")
     assert not job.committed
     job.mark_committed(1)
-    assert [r.item_id for r in job.committed] == ["i1"]
+    assert job.committed == ["i1"]
     assert "i1" not in job.items
 
 
@@ -51,8 +52,7 @@
 
 def test_new_owner_does_not_rerun_items_with_committed_results():
     items = [item("i1"), item("i2")]
-    committed = [ItemResult(item_id="i1", outcome=ItemOutcome.COMPLETE)]
-    job = JobState(submission=submission(items), results=committed)
+    job = JobState(submission=submission(items), committed=["i1"])
     assert [state.item.item_id for state in job.waiting()] == ["i2"]
     assert job.total == 2
 
--- a/endivespindle/batch/tests/test_partial_completions.py
+++ b/endivespindle/batch/tests/test_partial_completions.py
@@ -18,7 +18,7 @@
         for number in (1, 2):
             job.items[name].append_event(event(number), version)
     for name in ("a2", "b1"):
-        job.items[name].is_generated = True
+        job.items[name].finish_completion()
         job.complete_item(job.items[name], score="s")
     job.mark_committed(2)
     return job
@@ -26,7 +26,7 @@
 
 def _items_of_next_job(clock=None, wait_s=0.0, **changes):
     clock = clock or ManualClock()
-    cache = PartialCompletionCache(clock=clock)
+    cache = PartialCompletionCache(clock=clock, max_bytes=1_000_000)
     cache.store(_ended_job())
     clock.advance(wait_s)
     job = _job("j2", **changes)
--- a/endivespindle/runtime/completion_runner.py
+++ b/endivespindle/runtime/completion_runner.py
@@ -202,7 +202,7 @@
                 outcome=outcome,
             )
         if outcome == "whole":
-            state.is_generated = True
+            state.finish_completion()
             state.phase = ItemPhase.SCORING
         elif outcome != "moved":
             now_s = self._clock.monotonic()
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -9,6 +9,7 @@
 
 from endivespindle.backends.body_memory import BodyMemory
 from endivespindle.batch.job_calls import job_call_methods
+from endivespindle.batch.job_memory import JobMemory
 from endivespindle.peers.tasks import end_tasks
 from endivespindle.platform.jobs import JOB_CALLS
 from endivespindle.platform.servers import PlatformServerApi
@@ -239,10 +240,14 @@
             metrics=parts.metrics,
             guard=AttemptGuard(evidence=parts.evidence),
         )
+        memory = JobMemory.for_process(
+            memory_bytes=settings.memory_mb * 1_048_576
+        )
         job_store = JobStore(
             store=self._proxied_store(),
             ids=parts.ids,
             value_bytes=settings.limits.value_bytes,
+            cache_bytes=memory.cache_bytes,
         )
         owner_id = parts.fleet.local_node.owner_id
         self._runner = JobRunner(
@@ -257,6 +262,7 @@
             data_centre=settings.data_centre,
             log=parts.log,
             metrics=parts.metrics,
+            memory=memory,
             prompt_tokens_per_s=settings.prompt_tokens_per_s,
         )
         self._reports = ControllerReports(
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -12,9 +12,11 @@
 
 from endivespindle.batch.commit_delay import commit_delay_s
 from endivespindle.batch.job import ItemPhase, ItemState, JobState
+from endivespindle.batch.job_memory import JobMemory
 from endivespindle.batch.partial_completions import (
     ItemSnapshot,
     PartialCompletionCache,
+    limit_snapshots,
     restore_items,
     snapshot_items,
 )
@@ -23,7 +25,7 @@
 from endivespindle.exceptions import ConflictError, PlatformError
 from endivespindle.runtime.completion_runner import CompletionRunner
 from endivespindle.runtime.forwarding import Forwarder
-from endivespindle.runtime.job_store import JobStore, StoredJob
+from endivespindle.runtime.job_store import JobHead, JobStore, StoredJob
 from endivespindle.runtime.owned_job import OwnedJob
 from endivespindle.runtime.reward_calls import RewardCaller
 from endivespindle.runtime.supervision import run_supervised
@@ -72,6 +74,7 @@
         data_centre: Data centre of this VM.
         log: Decision log.
         metrics: Counters.
+        memory: Limits of what the jobs hold.
         prompt_tokens_per_s: Prompt tokens that a server reads in a second; None
             if the length of prompts does not count.
 
@@ -87,7 +90,8 @@
         "_data_centre",
         "_directory",
         "_log",
-        "_lost_states",
+        "_lost_snapshots",
+        "_memory",
         "_partial_completions",
         "_prompt_tokens_per_s",
         "_provisional",
@@ -114,6 +118,7 @@
         data_centre: str,
         log: EventLog,
         metrics: NodeMetrics,
+        memory: JobMemory,
         prompt_tokens_per_s: float | None = None,
     ):
         self._prompt_tokens_per_s = prompt_tokens_per_s
@@ -140,11 +145,14 @@
             rng=rng,
             log=log,
         )
-        self._lost_states: dict[str, JobState] = {}
+        self._memory = memory
+        self._lost_snapshots: dict[str, list[ItemSnapshot]] = {}
         self._provisional: dict[str, OwnedJob] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
-        self._partial_completions = PartialCompletionCache(clock=clock)
+        self._partial_completions = PartialCompletionCache(
+            clock=clock, max_bytes=memory.kept_bytes
+        )
         self.owner_id = owner_id
         self.jobs: dict[str, OwnedJob] = {}
 
@@ -159,9 +167,11 @@
             if job.is_open or job.state.submission.submitted_ms > oldest_ms:
                 continue
             try:
-                stored = await self._store.refresh(job.state.submission)
-                if stored.progress.owner == self.owner_id:
-                    await self._store.discard(stored)
+                progress, _ = await self._store.read_progress(
+                    job.state.submission
+                )
+                if progress.owner == self.owner_id:
+                    await self._store.discard(job.job_id, progress)
             except PlatformError as exc:
                 self._log.event(
                     "job_not_removed", job_id=job.job_id, error=str(exc)
@@ -246,7 +256,7 @@
         job = self._provisional.pop(job_id, None)
         if job is not None:
             self._drop_provisional(job)
-            self._keep_lost_state(job)
+            self._keep_lost_snapshots(job)
 
     def _open_job(
         self,
@@ -282,7 +292,7 @@
         job = self._provisional.pop(stored.submission.job_id, None)
         if job is None:
             return None
-        if stored.version or stored.results or stored.progress.ended:
+        if stored.version or stored.committed or stored.progress.ended:
             self._drop_provisional(job)
             return None
         job.adopt(stored, confirmed_s=asked_s)
@@ -352,14 +362,23 @@
                 return not job.is_lost
             asked_s = self._clock.monotonic()
             try:
-                stored = await self._store.refresh(job.state.submission)
+                progress, version = await self._store.read_progress(
+                    job.state.submission
+                )
+                if progress.owner != self.owner_id:
+                    self._handle_lost_job(job, progress.owner)
+                    return False
+                if version != job.version:
+                    stored = await self._store.complete(
+                        JobHead(
+                            submission=job.state.submission,
+                            progress=progress,
+                            version=version,
+                        )
+                    )
+                    self._reload(job, stored)
             except PlatformError:
                 return False
-            if stored.progress.owner != self.owner_id:
-                self._handle_lost_job(job, stored.progress.owner)
-                return False
-            if stored.version != job.version:
-                self._reload(job, stored)
             job.confirmed_s = asked_s
             return True
 
@@ -410,12 +429,12 @@
                 # A delayed message: this node has read a newer record since.
                 return []
             self._handle_lost_job(job, owner_id)
-        state = self._lost_states.pop(job_id, None)
         prepared = self._provisional.pop(job_id, None)
         if prepared is not None:
             self._drop_provisional(prepared)
-            state = state or prepared.state
-        return snapshot_items(state) if state is not None else []
+            if job_id not in self._lost_snapshots:
+                self._keep_lost_snapshots(prepared)
+        return self._lost_snapshots.pop(job_id, [])
 
     def _spawn(
         self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
@@ -631,7 +650,10 @@
         asked_s = self._clock.monotonic()
         try:
             job.progress, job.version = await self._store.save(
-                job.job_id, new, version=job.version
+                job.job_id,
+                new,
+                version=job.version,
+                places=job.state.places,
             )
         except ConflictError:
             stored = await self._store.refresh(job.state.submission)
@@ -643,6 +665,7 @@
             raise
         job.confirmed_s = asked_s
         job.state.mark_committed(len(uncommitted))
+        self._drop_kept_completions()
         job.state.mark_recorded(failures)
         if failures:
             self.wake()
@@ -667,7 +690,7 @@
         """
         state = JobState(
             submission=stored.submission,
-            results=stored.results,
+            committed=stored.committed,
             failures=stored.progress.failures,
             ended=stored.progress.ended,
         )
@@ -685,18 +708,29 @@
     def _handle_lost_job(self, job: OwnedJob, owner_id: str) -> None:
         job.is_lost = True
         if job.is_unfinished:
-            self._keep_lost_state(job)
+            self._keep_lost_snapshots(job)
         job.cancel_tasks()
         job.notify()
         job.flush_needed.set()
         self.jobs.pop(job.job_id, None)
         self._log.event("job_lost", job_id=job.job_id, owner=owner_id)
 
-    def _keep_lost_state(self, job: OwnedJob) -> None:
+    def _keep_lost_snapshots(self, job: OwnedJob) -> None:
         """Keeps the completions of a job for the node that takes it over."""
-        self._lost_states[job.job_id] = job.state
-        while len(self._lost_states) > _MAX_LOST_JOBS:
-            self._lost_states.pop(next(iter(self._lost_states)))
+        self._lost_snapshots[job.job_id] = limit_snapshots(
+            snapshot_items(job.state), max_bytes=self._memory.snapshot_bytes
+        )
+        while len(self._lost_snapshots) > _MAX_LOST_JOBS:
+            self._lost_snapshots.pop(next(iter(self._lost_snapshots)))
+
+    def _drop_kept_completions(self) -> None:
+        """Keeps the completions of committed results within their limit."""
+        held_bytes = sum(job.state.kept_bytes for job in self.jobs.values())
+        for job in self.jobs.values():
+            if held_bytes <= self._memory.kept_bytes:
+                return
+            held_bytes -= job.state.kept_bytes
+            job.state.drop_kept()
 
 
 def _now_ms(clock: Clock) -> int:
--- a/endivespindle/runtime/job_service.py
+++ b/endivespindle/runtime/job_service.py
@@ -8,11 +8,10 @@
 
 import msgspec
 
-from endivespindle.batch.job import page
 from endivespindle.batch.job_calls import may_access_job
 from endivespindle.batch.ownership import preferred_owner
 from endivespindle.batch.partial_completions import ItemSnapshot
-from endivespindle.batch.progress import JobProgress
+from endivespindle.batch.progress import ItemResult, JobProgress
 from endivespindle.batch.submission import BatchSubmission
 from endivespindle.core.clock import Clock
 from endivespindle.core.reasons import Reason
@@ -24,7 +23,12 @@
 )
 from endivespindle.runtime.fleet_view import FleetView, NodeRecord
 from endivespindle.runtime.job_runner import JobRunner
-from endivespindle.runtime.job_store import CreateOutcome, JobStore, StoredJob
+from endivespindle.runtime.job_store import (
+    CreateOutcome,
+    JobHead,
+    JobStore,
+    StoredJob,
+)
 from endivespindle.runtime.owned_job import OwnedJob
 from endivespindle.runtime.peer_client import (
     ItemSnapshots,
@@ -187,16 +191,16 @@
         while self._runner.is_prepared(job_id):
             asked_s = self._clock.monotonic()
             try:
-                stored = await self._store.load(job_id)
+                head = await self._store.find(job_id)
             except PlatformError:
-                stored = None
+                head = None
             if not self._runner.is_prepared(job_id):
                 return
-            if stored is not None:
-                owner_id = stored.progress.owner
+            if head is not None:
+                owner_id = head.progress.owner
                 self._cache_owner(job_id, owner_id)
                 if owner_id == self._runner.owner_id:
-                    await self._take_over(stored, asked_s=asked_s)
+                    await self._take_over(head, asked_s=asked_s)
                 # Does nothing if the job is owned by this node now.
                 self._runner.drop_prepared(job_id)
                 return
@@ -281,13 +285,34 @@
                 if job.is_lost
                 else JobReplyStatus.UNSURE
             )
-        results = page(
-            job.state.committed, after=req.after, max_bytes=_PAGE_BYTES
-        )
+        results = await self._read_results(job, req.after)
+        if results is None:
+            return JobReply(state=JobReplyStatus.UNSURE)
         reply = self._reply(job)
-        reply.results = list(results)
+        reply.results = results
         return reply
 
+    async def _read_results(
+        self, job: OwnedJob, after: int
+    ) -> list[ItemResult] | None:
+        """Returns a page of committed results; None if it cannot be read."""
+        try:
+            async with asyncio.timeout(_CONFIRM_TIMEOUT_S):
+                return await self._store.read_results(
+                    job.progress,
+                    committed=len(job.state.committed),
+                    after=after,
+                    max_bytes=_PAGE_BYTES,
+                )
+        except (PlatformError, TimeoutError) as exc:
+            self._log.event(
+                "results_not_read",
+                job_id=job.job_id,
+                after=after,
+                error=repr(exc),
+            )
+            return None
+
     async def _confirm_for_read(self, job: OwnedJob) -> bool:
         """Confirms ownership within the time that a peer waits for a read."""
         try:
@@ -428,7 +453,12 @@
                 error=str(exc),
             )
             await self._take_over(
-                _new_job(submission), asked_s=self._clock.monotonic()
+                JobHead(
+                    submission=submission,
+                    progress=JobProgress(owner=submission.first_owner),
+                    version=0,
+                ),
+                asked_s=self._clock.monotonic(),
             )
 
     async def _send_owner_update(
@@ -444,7 +474,7 @@
         """Checks whether a creation whose response was lost took effect."""
         for _ in range(_CREATION_CHECKS):
             try:
-                if await self._store.load(submission.job_id) is not None:
+                if await self._store.find(submission.job_id) is not None:
                     return CreateOutcome.CREATED
             except PlatformError as exc:
                 self._log.event(
@@ -486,14 +516,14 @@
         """
         asked_s = self._clock.monotonic()
         try:
-            stored = await self._store.load(req.job_id)
+            head = await self._store.find(req.job_id)
         except PlatformError as exc:
             raise _unavailable_error() from exc
-        if stored is None:
+        if head is None:
             return JobReply(state=JobReplyStatus.MISSING)
-        if not _may_access(stored.submission, req):
-            return _foreign_reply(stored.submission)
-        owner_id = stored.progress.owner
+        if not _may_access(head.submission, req):
+            return _foreign_reply(head.submission)
+        owner_id = head.progress.owner
         self._cache_owner(req.job_id, owner_id)
         owner = self._fleet.find_owner(owner_id)
         if (
@@ -507,7 +537,7 @@
             )
             if reply.state is JobReplyStatus.OK:
                 return reply
-        if not await self._take_over(stored, asked_s=asked_s):
+        if not await self._take_over(head, asked_s=asked_s):
             raise _unavailable_error()
         reply = await self.answer_as_owner(req)
         if reply.state is not JobReplyStatus.OK:
@@ -522,10 +552,10 @@
     async def _handle_handover(self, update: JobOwnerUpdate) -> None:
         asked_s = self._clock.monotonic()
         try:
-            stored = await self._store.load(update.job_id)
-            if stored is not None:
+            head = await self._store.find(update.job_id)
+            if head is not None:
                 await self._take_over(
-                    stored, asked_s=asked_s, owner_before=update.owner_before
+                    head, asked_s=asked_s, owner_before=update.owner_before
                 )
         except PlatformError as exc:
             self._log.state_change(
@@ -548,23 +578,23 @@
         asked_s = self._clock.monotonic()
         try:
             async with asyncio.timeout(_CONFIRM_TIMEOUT_S):
-                stored = await self._store.load(job_id)
+                head = await self._store.find(job_id)
                 if (
-                    stored is not None
-                    and stored.progress.owner == self._runner.owner_id
+                    head is not None
+                    and head.progress.owner == self._runner.owner_id
                 ):
-                    await self._take_over(stored, asked_s=asked_s)
+                    await self._take_over(head, asked_s=asked_s)
         except (PlatformError, TimeoutError) as exc:
             self._log.event("job_not_adopted", job_id=job_id, error=repr(exc))
         return self._runner.jobs.get(job_id)
 
     async def _take_over(
-        self, stored: StoredJob, *, asked_s: float, owner_before: str = ""
+        self, head: JobHead, *, asked_s: float, owner_before: str = ""
     ) -> bool:
         """Makes this node the owner of a job.
 
         Args:
-            stored: The job as stored.
+            head: The job as stored.
             asked_s: Monotonic time at which the job was read.
             owner_before: Node that ran the job, if the record already names
                 this node as the owner.
@@ -572,23 +602,28 @@
         Returns:
             Whether this node owns the job now.
         """
-        job_id = stored.submission.job_id
+        job_id = head.submission.job_id
         lock = self._takeover_locks.setdefault(job_id, asyncio.Lock())
         try:
             async with lock:
-                return await self._become_owner(stored, asked_s, owner_before)
+                return await self._become_owner(head, asked_s, owner_before)
         finally:
             if not lock.locked():
                 self._takeover_locks.pop(job_id, None)
 
     async def _become_owner(
-        self, stored: StoredJob, asked_s: float, owner_before: str
+        self, head: JobHead, asked_s: float, owner_before: str
     ) -> bool:
-        job_id = stored.submission.job_id
+        job_id = head.submission.job_id
         if job_id in self._runner.jobs:
             return True
         if self.draining:
             return False
+        try:
+            stored = await self._store.complete(head)
+        except PlatformError as exc:
+            self._log.event("job_not_taken_over", job_id=job_id, error=str(exc))
+            return False
         old_owner = stored.progress.owner
         if old_owner == self._runner.owner_id:
             owner_before = owner_before or stored.progress.owner_before
@@ -602,7 +637,13 @@
             asked_s = self._clock.monotonic()
             try:
                 progress, version = await self._store.save(
-                    job_id, progress, version=stored.version
+                    job_id,
+                    progress,
+                    version=stored.version,
+                    places={
+                        item.item_id: n
+                        for n, item in enumerate(stored.submission.items)
+                    },
                 )
             except PlatformError as exc:
                 self._log.event(
@@ -617,7 +658,7 @@
             "job_taken_over",
             job_id=job_id,
             owner_before=owner_before,
-            listed=len(stored.results),
+            listed=len(stored.committed),
             texts=len(snapshots),
             version=stored.version,
         )
@@ -702,7 +743,7 @@
     return StoredJob(
         submission=submission,
         progress=JobProgress(owner=submission.first_owner),
-        results=[],
+        committed=[],
         version=0,
     )
 
--- a/endivespindle/runtime/owned_job.py
+++ b/endivespindle/runtime/owned_job.py
@@ -66,7 +66,7 @@
     ):
         self.state = JobState(
             submission=stored.submission,
-            results=stored.results,
+            committed=stored.committed,
             failures=stored.progress.failures,
             ended=stored.progress.ended,
         )
--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -51,6 +51,7 @@
         pause_s: Seconds before each event.
         signature: Signature of the answer.
         leaving: Whether the server announces its shutdown.
+        filler: Text that follows the number of each event in its data.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         pause_s=0.01,
         signature="sig",
         leaving=False,
+        filler="",
     ):
         self.head = ResponseHead(
             status=status,
@@ -76,6 +78,7 @@
         self._body = body
         self._events = events
         self._pause_s = pause_s
+        self._filler = filler
 
     async def read(self):
         return self._body
@@ -93,7 +96,7 @@
             )
             yield StreamEvent(
                 event_id=number,
-                data=f"t{number}",
+                data=f"t{number}{self._filler}",
                 weight_version=version,
                 raw=b"",
             )
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from endivespindle.batch.job_memory import JobMemory
 from endivespindle.batch.progress import ItemOutcome, JobProgress
 from endivespindle.batch.tests.jobs import item, submission
 from endivespindle.exceptions import (
@@ -43,6 +44,8 @@
 
 # Time after the end of a job in which its items may still reach a server.
 CANCEL_S = 3.0
+# Memory of a small VM.
+MEMORY_BYTES = 150 * 1_048_576
 
 
 class _Peers:
@@ -162,6 +165,7 @@
             owner_id=self.parts.fleet.local_node.owner_id,
             data_centre="a",
             metrics=self.parts.metrics,
+            memory=JobMemory.for_process(memory_bytes=MEMORY_BYTES),
             **common,
         )
         self.reaching = []
@@ -537,7 +541,9 @@
         owner = world.owner()
         job = owner.runner.jobs["job-1"]
         ended = msgspec.structs.replace(job.progress, ended=True)
-        await owner.runner._store.save("job-1", ended, version=job.version)
+        await owner.runner._store.save(
+            "job-1", ended, version=job.version, places=job.state.places
+        )
         await asyncio.sleep(5.0)
         assert len(world.sent("i1")) == 1
         assert owner.runner.jobs["job-1"].state.ended
@@ -553,7 +559,9 @@
         owner = world.owner()
         job = owner.runner.jobs["job-1"]
         ended = msgspec.structs.replace(job.progress, owner="n9/x", ended=True)
-        await owner.runner._store.save("job-1", ended, version=job.version)
+        await owner.runner._store.save(
+            "job-1", ended, version=job.version, places=job.state.places
+        )
         await asyncio.sleep(8.0)
         assert len(world.sent("i1")) == 1
         assert world.sent("score-i1") == []
@@ -578,7 +586,7 @@
         ended = JobProgress(
             owner=world.nodes[0].parts.fleet.local_node.owner_id, ended=True
         )
-        await target.runner._store.save("job-1", ended, version=0)
+        await target.runner._store.save("job-1", ended, version=0, places={})
         assert not await target.service.accept_assignment(job)
         await asyncio.sleep(1.0)
         assert world.servers.sent == []
@@ -792,7 +800,9 @@
         owner = world.owner()
         job = owner.runner.jobs["job-1"]
         ended = msgspec.structs.replace(job.progress, owner="n9/x", ended=True)
-        await owner.runner._store.save("job-1", ended, version=job.version)
+        await owner.runner._store.save(
+            "job-1", ended, version=job.version, places=job.state.places
+        )
         ended_s = asyncio.get_running_loop().time()
         await asyncio.sleep(6.0)
         assert len(dropped) == 1
@@ -1285,7 +1295,9 @@
         await asyncio.sleep(3.0)
         assert "job-1" in prepared.runner.jobs
         job = await prepared.runner._store.load("job-1")
-        assert [r.text for r in job.results] == ["t1\nt2\nt3"]
+        assert job.committed == ["i1"]
+        results = (await world.read(prepared)).results
+        assert [r.text for r in results] == ["t1\nt2\nt3"]
         assert len(world.sent("i1")) == 1
 
     _play(_slower, story)
--- a/tests/test_job_store.py
+++ b/tests/test_job_store.py
@@ -34,7 +34,9 @@
     jobs = JobStore(
         store=store, ids=SeededIdSource(seed=1), value_bytes=VALUE_BYTES
     )
-    await jobs.create(submission([item("i0")]))
+    names = [result.item_id for results in batches for result in results]
+    await jobs.create(submission([item(name) for name in names]))
+    places = {name: place for place, name in enumerate(names)}
     progress, version = JobProgress(owner="n1"), 0
     for results in batches:
         progress, version = await jobs.save(
@@ -45,8 +47,26 @@
                 results=(*progress.results, *results),
             ),
             version=version,
+            places=places,
         )
-    return store, (await jobs.load("job-1")).results
+    return store, await _read_all(jobs)
+
+
+async def _read_all(jobs):
+    """Returns all results of a job, read in pages of one value."""
+    job = await jobs.load("job-1")
+    results = []
+    while len(results) < len(job.committed):
+        page = await jobs.read_results(
+            job.progress,
+            committed=len(job.committed),
+            after=len(results),
+            max_bytes=VALUE_BYTES,
+        )
+        assert page
+        results += page
+    assert [result.item_id for result in results] == job.committed
+    return results
 
 
 @given(st.lists(st.lists(TEXTS, max_size=6), min_size=1, max_size=3))
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -152,7 +152,7 @@
         assert restore_items(after, snapshot_items(before)) == 1
         assert after.items["i1"].software == "v1"
         clock = LoopClock(loop=asyncio.get_running_loop())
-        cache = PartialCompletionCache(clock=clock)
+        cache = PartialCompletionCache(clock=clock, max_bytes=1_000_000)
         cache.store(before)
         later = JobState(submission=submission([item("i1")]))
         assert cache.restore(later) == 1
