Limit the completions that the store does not have yet

Cause: items began whenever a server had a free slot: 78 completions of 372 KB at a time. Results waited up to a second for their write, which then encoded all of them at once. In an outage of the store they waited without a limit.

Where lengths are not known yet, the completion that began last is given up at the limit. Nothing begins while generated completions fill the memory. Results that fill an object are written at once; one write takes four objects at most, failed items first.

Tests: tests/test_large_jobs.py::test_completions_wait_for_a_store_that_is_out_of_reach failed before (16,005,600 bytes held, 4,234,304 allowed).

Completions that wait for a missing reward route count, and may keep items of other jobs waiting.

--- a/endivespindle/batch/commit_delay.py
+++ b/endivespindle/batch/commit_delay.py
@@ -17,7 +17,9 @@
 _COMPLETE_GROUP_WINDOW_S = 3.0
 
 
-def commit_delay_s(job: JobState, *, now_ms: int) -> float:
+def commit_delay_s(
+    job: JobState, *, now_ms: int, max_bytes: int | None = None
+) -> float:
     """Returns the seconds for which uncommitted results wait to be written.
 
     Load pattern: many items end within a second, several steps at a time, and
@@ -25,14 +27,20 @@
     once enough groups are complete. So results are written at once when that
     is the case, and in larger batches before. Failures are rare and written at
     once: an owner that is killed before would leave them to be repeated.
+    Results that fill a write are written at once too, as they are held in
+    memory until then.
 
     Args:
         job: The job, with uncommitted results.
         now_ms: Unix milliseconds.
+        max_bytes: Size of the results that fill a write, in bytes; None if it
+            does not count.
     """
     sub = job.submission
     if job.has_final_failures:
         return 0.0
+    if max_bytes is not None and job.uncommitted_bytes >= max_bytes:
+        return 0.0
     if len(job.committed) + len(job.uncommitted) == job.total:
         return 0.0
     if not sub.group_count:
--- a/endivespindle/batch/job.py
+++ b/endivespindle/batch/job.py
@@ -50,11 +50,14 @@
             may go on with its completion.
         is_generated: Whether the completion is fully generated, so that only
             the score is missing.
+        is_displaced: Whether the completion was given up for lack of memory
+            while it was generated.
     """
 
     __slots__ = (
         "chunks",
         "failures",
+        "is_displaced",
         "is_generated",
         "item",
         "not_before_s",
@@ -84,6 +87,7 @@
         self.restarts = 0
         self.resume_until_s = 0.0
         self.is_generated = False
+        self.is_displaced = False
 
     def resume_from(self, earlier: "ItemState") -> None:
         """Copies the completion that the item had in an earlier job."""
@@ -184,6 +188,8 @@
         items: Items without a committed result, by identity.
         places: Place of each item in the submission, by identity.
         tokens_per_event: Tokens per stream event of the job's engines.
+        generated_bytes: Memory of the completions generated here, in bytes.
+        generated_items: Number of these completions.
         cache_tokens: Capacity of the KV cache of the job's engines, in tokens;
             0 if it is not known.
     """
@@ -196,6 +202,8 @@
         "_uncommitted",
         "cache_tokens",
         "ended",
+        "generated_bytes",
+        "generated_items",
         "items",
         "places",
         "service",
@@ -216,6 +224,8 @@
         self.ended = ended
         self.tokens_per_event = 1
         self.cache_tokens = 0
+        self.generated_bytes = 0
+        self.generated_items = 0
         self._committed: list[str] = []
         self._uncommitted: list[ItemResult] = []
         self._generated: dict[str, ItemState] = {}
@@ -279,6 +289,39 @@
         incomplete = {state.item.group for state in self.items.values()}
         return [s for s in states.values() if s.item.group in incomplete]
 
+    @property
+    def uncommitted_bytes(self) -> int:
+        """Size of the results that the store has not acknowledged, in bytes."""
+        return sum(len(result.text) for result in self._uncommitted)
+
+    def next_batch(self, *, max_bytes: int) -> list[ItemResult]:
+        """Returns the uncommitted results to write next.
+
+        Failed items come first: a new owner must know of them.
+
+        Args:
+            max_bytes: Size of the texts beyond which a batch ends, in bytes.
+        """
+        self._uncommitted.sort(
+            key=lambda result: result.outcome is not ItemOutcome.TERMINATED
+        )
+        batch: list[ItemResult] = []
+        for result in self._uncommitted:
+            max_bytes -= len(result.text)
+            if batch and max_bytes < 0:
+                break
+            batch.append(result)
+        return batch
+
+    def expected_bytes(self) -> int:
+        """Returns the memory that a completion is expected to reach.
+
+        Until one is generated, this is the largest one so far.
+        """
+        if self.generated_items:
+            return self.generated_bytes // self.generated_items
+        return max((s.text_bytes for s in self.items.values()), default=0)
+
     @property
     def kept_bytes(self) -> int:
         """Memory of committed completions of incomplete groups, in bytes."""
--- a/endivespindle/batch/tests/test_commit_delay.py
+++ b/endivespindle/batch/tests/test_commit_delay.py
@@ -2,7 +2,7 @@
 
 from endivespindle.batch.commit_delay import commit_delay_s
 from endivespindle.batch.job import JobState
-from endivespindle.batch.tests.jobs import item, submission
+from endivespindle.batch.tests.jobs import event, item, submission
 
 
 def _job(groups=4, **changes):
@@ -37,6 +37,14 @@
     assert commit_delay_s(job, now_ms=1000) == 0.0
 
 
+def test_results_that_fill_a_write_are_written_at_once():
+    job = _job(group_count=3)
+    job.items["0-0"].append_event(event(1, data="x" * 100), 1)
+    _finish(job, "0-0")
+    assert commit_delay_s(job, now_ms=1000, max_bytes=100) == 0.0
+    assert commit_delay_s(job, now_ms=1000, max_bytes=101) == 1.0
+
+
 def test_delay_is_shorter_near_the_due_time():
     job = _job(group_count=3, due_s=7.5)
     _finish(job, "0-0")
--- a/endivespindle/batch/tests/test_job.py
+++ b/endivespindle/batch/tests/test_job.py
@@ -41,6 +41,18 @@
     assert "i1" not in job.items
 
 
+def test_a_batch_of_results_has_a_size_and_begins_with_failed_items():
+    job = _job()
+    for name in ("i1", "i2"):
+        job.items[name].append_event(event(1, data="x" * 100), 1)
+        job.complete_item(job.items[name], score="")
+    job.terminate_item(job.items["i3"])
+    batch = job.next_batch(max_bytes=150)
+    assert [result.item_id for result in batch] == ["i3", "i1"]
+    job.mark_committed(len(batch))
+    assert [r.item_id for r in job.next_batch(max_bytes=10)] == ["i2"]
+
+
 def test_item_has_one_result():
     job = _job()
     state = job.items["i1"]
--- a/endivespindle/runtime/completion_runner.py
+++ b/endivespindle/runtime/completion_runner.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import sys
 from collections.abc import AsyncIterator, Callable
 
+from endivespindle.batch.completion_memory import CompletionMemory
 from endivespindle.batch.generation_speed import (
     baseline_event_interval_s,
     should_migrate,
@@ -97,9 +99,17 @@
         clock: Clock of this VM.
         log: Decision log.
         metrics: Counters.
+        memory: Memory of the completions.
     """
 
-    __slots__ = ("_api", "_clock", "_directory", "_log", "_metrics")
+    __slots__ = (
+        "_api",
+        "_clock",
+        "_directory",
+        "_log",
+        "_memory",
+        "_metrics",
+    )
 
     def __init__(
         self,
@@ -109,7 +119,9 @@
         clock: Clock,
         log: EventLog,
         metrics: NodeMetrics,
+        memory: CompletionMemory,
     ):
+        self._memory = memory
         self._api = api
         self._directory = directory
         self._clock = clock
@@ -283,20 +295,14 @@
                 view.record_version(sub.model, version)
             if version is None:
                 return "version_unknown"
-            if version < sub.min_version:
-                # A load order executed late has restored old weights.
-                return "stale_version"
-            if sub.single_version and state.versions not in ([], [version]):
-                state.discard_completion()
-                return "version_changed"
-            if len(state.chunks) >= max(1, state.item.tokens):
-                # Each event holds a token at least.
-                state.discard_completion()
-                return "too_long"
+            outcome = _check_event(job, state, version)
+            if outcome:
+                return outcome
             software = view.entry.software
             if not state.append_event(event, version, software=software):
                 state.discard_completion()
                 return "out_of_order"
+            self._memory.add(sys.getsizeof(event.data))
             on_event()
             interval_s = intervals.record_event()
             if intervals.events > 1:
@@ -305,6 +311,8 @@
             if self._should_migrate(job, state, view, intervals):
                 self._metrics.count_retry(RetryReason.SERVER_SLOW)
                 return "moved"
+        if state.is_displaced:
+            return "displaced"
         return "whole" if state.chunks else "empty"
 
     def _should_migrate(
@@ -381,6 +389,33 @@
             yield event
 
 
+def _check_event(job: OwnedJob, state: ItemState, version: int) -> str:
+    """Returns why a completion cannot take a further event.
+
+    Args:
+        job: The job.
+        state: The item; its completion is discarded if it cannot go on.
+        version: Weight version that generated the event.
+
+    Returns:
+        The outcome for the log; empty if the event may be appended.
+    """
+    sub = job.state.submission
+    if state.is_displaced:
+        return "displaced"
+    if version < sub.min_version:
+        # A load order executed late has restored old weights.
+        return "stale_version"
+    if sub.single_version and state.versions not in ([], [version]):
+        state.discard_completion()
+        return "version_changed"
+    if len(state.chunks) >= max(1, state.item.tokens):
+        # Each event holds a token at least.
+        state.discard_completion()
+        return "too_long"
+    return ""
+
+
 async def _discard_body(resp: ServerResponse) -> None:
     """Reads the body of an error response, so that its connection is kept.
 
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -5,12 +5,13 @@
 import functools
 import math
 import random
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Iterator, Sequence
 from typing import Any
 
 import msgspec
 
 from endivespindle.batch.commit_delay import commit_delay_s
+from endivespindle.batch.completion_memory import CompletionMemory
 from endivespindle.batch.job import ItemPhase, ItemState, JobState
 from endivespindle.batch.job_memory import JobMemory
 from endivespindle.batch.partial_completions import (
@@ -55,6 +56,9 @@
 # Lost jobs whose partial completions are kept for the new owner. A node runs
 # the steps of one or two trainers at a time.
 _MAX_LOST_JOBS = 4
+# Largest objects that one write of results fills: the results are encoded at
+# once, and the last object, which is the record, is written again by the next.
+_OBJECTS_PER_WRITE = 4
 # Pause before an item is sent after ownership of its job was not confirmed.
 _UNCONFIRMED_PAUSE_S = 0.05
 
@@ -85,11 +89,13 @@
 
     __slots__ = (
         "_clock",
+        "_completion_memory",
         "_completions",
         "_config",
         "_data_centre",
         "_directory",
         "_log",
+        "_is_memory_full",
         "_lost_snapshots",
         "_memory",
         "_partial_completions",
@@ -129,7 +135,13 @@
         self._rng = rng
         self._data_centre = data_centre
         self._log = log
+        self._completion_memory = CompletionMemory(
+            max_bytes=memory.completion_bytes,
+            items=self._items_without_result,
+        )
+        self._is_memory_full = False
         self._completions = CompletionRunner(
+            memory=self._completion_memory,
             api=api,
             directory=directory,
             clock=clock,
@@ -519,14 +531,44 @@
             rng=self._rng,
             prompt_tokens_per_s=self._prompt_tokens_per_s,
         )
+        self._completion_memory.count()
+        expected_bytes = {
+            job.job_id: job.state.expected_bytes() for job in open_jobs
+        }
+        is_full = False
         for placement in placements:
             job = by_id[placement.job.submission.job_id]
             state = placement.state
+            if not self._completion_memory.begin(
+                state, expected_bytes=expected_bytes[job.job_id]
+            ):
+                is_full = True
+                break
             state.phase = ItemPhase.GENERATING
             state.server = placement.server.entry.name
             job.spawn(self._run_item(job, state, placement.server))
+        if placements:
+            self._log_memory_state(is_full=is_full)
         return any(job.state.waiting() for job in open_jobs)
 
+    def _items_without_result(self) -> Iterator[ItemState]:
+        """Yields the items of open jobs whose results are not stored."""
+        for job in (*self.jobs.values(), *self._provisional.values()):
+            if job.is_open:
+                yield from job.state.items.values()
+
+    def _log_memory_state(self, *, is_full: bool) -> None:
+        """Logs whether items wait for memory, if that has changed."""
+        if is_full == self._is_memory_full:
+            return
+        self._is_memory_full = is_full
+        self._log.event(
+            "completion_memory",
+            outcome="full" if is_full else "free",
+            held_bytes=self._completion_memory.held_bytes,
+            max_bytes=self._completion_memory.max_bytes,
+        )
+
     async def _score_generated_item(
         self, job: OwnedJob, state: ItemState
     ) -> None:
@@ -543,27 +585,36 @@
     ) -> None:
         """Generates a completion or part of it, then makes the reward call."""
         try:
-            if not await self.confirm_ownership(job):
-                state.not_before_s = (
-                    self._clock.monotonic() + _UNCONFIRMED_PAUSE_S
-                )
-                return
-            if not job.may_run(state):
-                # The confirmation found the job ended or its record changed.
-                return
-            model = job.state.submission.model
-            view.models.begin_request(model)
-            try:
-                await self._completions.run(job, state, view)
-            finally:
-                view.models.end_request(model)
-            if state.phase is ItemPhase.SCORING and not job.is_provisional:
-                await self._rewards.score(job, state)
+            await self._generate_item(job, state, view)
         finally:
+            self._completion_memory.end(state)
             if state.phase in (ItemPhase.GENERATING, ItemPhase.SCORING):
                 state.phase = ItemPhase.WAITING
             self.wake()
 
+    async def _generate_item(
+        self, job: OwnedJob, state: ItemState, view: ServerView
+    ) -> None:
+        """Generates a completion and makes its reward call."""
+        if not await self.confirm_ownership(job):
+            state.not_before_s = self._clock.monotonic() + _UNCONFIRMED_PAUSE_S
+            return
+        if not job.may_run(state):
+            # The confirmation found the job ended or its record changed.
+            return
+        model = job.state.submission.model
+        view.models.begin_request(model)
+        try:
+            await self._completions.run(job, state, view)
+        finally:
+            view.models.end_request(model)
+            self._completion_memory.end(state)
+        if state.is_generated:
+            job.state.generated_bytes += state.text_bytes
+            job.state.generated_items += 1
+        if state.phase is ItemPhase.SCORING and not job.is_provisional:
+            await self._rewards.score(job, state)
+
     async def _cancel_unconfirmed_requests(self, job: OwnedJob) -> None:
         """Cancels requests that might arrive after the end of their job."""
         while job.is_open:
@@ -599,7 +650,11 @@
             await job.flush_needed.wait()
             start_s = self._clock.monotonic()
             while job.is_open:
-                delay_s = commit_delay_s(job.state, now_ms=_now_ms(self._clock))
+                delay_s = commit_delay_s(
+                    job.state,
+                    now_ms=_now_ms(self._clock),
+                    max_bytes=self._store.max_bytes,
+                )
                 remaining_s = start_s + delay_s - self._clock.monotonic()
                 if remaining_s <= 0:
                     break
@@ -612,6 +667,8 @@
             try:
                 async with job.lock:
                     await self._save(job)
+                if job.state.uncommitted:
+                    job.flush_needed.set()
             except PlatformError as exc:
                 self._log.event(
                     "results_not_listed", job_id=job.job_id, error=str(exc)
@@ -637,7 +694,9 @@
         """
         if job.is_lost:
             raise ConflictError(f"job {job.job_id} is owned by another node")
-        uncommitted = list(job.state.uncommitted)
+        uncommitted = job.state.next_batch(
+            max_bytes=self._store.max_bytes * _OBJECTS_PER_WRITE
+        )
         failures = job.state.count_failures()
         new = msgspec.structs.replace(
             job.progress,
--- a/endivespindle/runtime/job_store.py
+++ b/endivespindle/runtime/job_store.py
@@ -142,6 +142,11 @@
         self._max_bytes = int(value_bytes * _MAX_FILL_FRACTION)
         self._cache = ResultCache(max_bytes=cache_bytes)
 
+    @property
+    def max_bytes(self) -> int:
+        """Encoded size up to which one object is filled, in bytes."""
+        return self._max_bytes
+
     async def create(self, submission: BatchSubmission) -> CreateOutcome:
         """Creates a job unless one with the same id exists.
 
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -126,7 +126,7 @@
 class _Node:
     """One gateway's batch job parts."""
 
-    def __init__(self, name, store, servers, peers):
+    def __init__(self, name, store, servers, peers, memory_bytes):
         self.parts = node_parts(name)
         clock = self.parts.clock
         directory = ServerDirectory(clock=clock)
@@ -165,7 +165,7 @@
             owner_id=self.parts.fleet.local_node.owner_id,
             data_centre="a",
             metrics=self.parts.metrics,
-            memory=JobMemory.for_process(memory_bytes=MEMORY_BYTES),
+            memory=JobMemory.for_process(memory_bytes=memory_bytes),
             **common,
         )
         self.reaching = []
@@ -195,7 +195,8 @@
 class _World:
     """Some nodes, one store, scripted servers."""
 
-    def __init__(self, answer, names=("n1", "n2")):
+    def __init__(self, answer, names=("n1", "n2"), memory_bytes=MEMORY_BYTES):
+        self.memory_bytes = memory_bytes
         self.store = MemoryObjectStore()
         self.servers = ScriptedServers(answer)
         self.peers = _Peers()
@@ -213,7 +214,9 @@
                 )
 
     def add(self, name):
-        return _Node(name, self.store, self.servers, self.peers)
+        return _Node(
+            name, self.store, self.servers, self.peers, self.memory_bytes
+        )
 
     def owner(self, job_id="job-1"):
         return next(n for n in self.nodes if job_id in n.runner.jobs)
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from endivespindle.batch.job_memory import JobMemory
 from endivespindle.batch.progress import JobProgress
 from endivespindle.batch.tests.jobs import item
 from tests.fleet_fakes import ScriptedAnswer
@@ -21,6 +22,8 @@
 # Largest value of the store. Results of that size together are in the record
 # of a job.
 VALUE_BYTES = 1_048_576
+# Memory of a process that holds a fifth of the completions.
+SMALL_MEMORY_BYTES = 24 * 1_048_576
 # Shorter strings are names and the like.
 MIN_TEXT_BYTES = 1000
 
@@ -163,6 +166,28 @@
     _play(_answer, story)
 
 
+def test_completions_wait_for_a_store_that_is_out_of_reach():
+    """An owner generated on while nothing was stored, up to its end (LOST)."""
+
+    async def story(world):
+        await _submit(world)
+        owner = world.owner()
+        owner.link.reset = True
+        await asyncio.sleep(5.0)
+        limit = JobMemory.for_process(memory_bytes=SMALL_MEMORY_BYTES)
+        assert _held_bytes(owner) <= (
+            limit.completion_bytes + COMPLETION_BYTES + VALUE_BYTES
+        )
+        # What there is room for was generated meanwhile.
+        assert _held_bytes(owner) >= limit.completion_bytes // 2
+        owner.link.reset = False
+        await _finish(world)
+        results = await _read_all(world, owner)
+        assert len({result.item_id for result in results}) == ITEMS
+
+    _play(_answer, story, memory_bytes=SMALL_MEMORY_BYTES)
+
+
 class _EarlierPart(msgspec.Struct, kw_only=True):
     """Reference to a part as earlier versions know it."""
 
