Release what finished batch jobs hold

Cause: only the age of a job made its owner forget it, and the results in progress records had a limit for each job, but none together.

Change: once a job is ended or complete, its owner keeps identities and groups of its items. Pages, bodies, and the record before it is written again, are read from the store then.

Open: submissions of open jobs and pages on their way to callers have no common limit.

--- a/endivespindle/batch/job.py
+++ b/endivespindle/batch/job.py
@@ -4,6 +4,8 @@
 import sys
 from collections.abc import Mapping, Sequence
 
+import msgspec
+
 from endivespindle.batch.progress import (
     ItemFailures,
     ItemOutcome,
@@ -185,6 +187,7 @@
         submission: The job as accepted.
         service: Service whose servers run its items.
         ended: Whether the job was ended.
+        is_released: Whether the bodies of its items are no longer held.
         items: Items without a committed result, by identity.
         places: Place of each item in the submission, by identity.
         tokens_per_event: Tokens per stream event of the job's engines.
@@ -204,6 +207,7 @@
         "ended",
         "generated_bytes",
         "generated_items",
+        "is_released",
         "items",
         "places",
         "service",
@@ -222,6 +226,7 @@
         self.submission = submission
         self.service = submission.service
         self.ended = ended
+        self.is_released = False
         self.tokens_per_event = 1
         self.cache_tokens = 0
         self.generated_bytes = 0
@@ -347,12 +352,41 @@
         ]
 
     def body(self, item_id: str) -> bytes | None:
-        """Returns the request body of an item, or None if it is unknown."""
+        """Returns the request body of an item.
+
+        None if the item is unknown, or the bodies are no longer held.
+        """
+        if self.is_released:
+            return None
         for item in self.submission.items:
             if item.item_id == item_id:
                 return item.body
         return None
 
+    def release_items(self) -> None:
+        """Forgets what is only needed to run the items of a job.
+
+        Their identities and groups remain.
+        """
+        self.is_released = True
+        self.submission = msgspec.structs.replace(
+            self.submission,
+            items=[
+                BatchItem(
+                    item_id=item.item_id,
+                    path="",
+                    headers={},
+                    body=b"",
+                    tokens=item.tokens,
+                    group=item.group,
+                )
+                for item in self.submission.items
+            ],
+        )
+        self.items = {}
+        self._generated = {}
+        self._uncommitted = []
+
     def complete_item(self, state: ItemState, *, score: str) -> None:
         """Records the result of an item whose completion is generated.
 
--- a/endivespindle/runtime/job_runner.py
+++ b/endivespindle/runtime/job_runner.py
@@ -218,6 +218,7 @@
         if job is None:
             job = self._open_job(stored, asked_s=asked_s, snapshots=snapshots)
         self.jobs[job.job_id] = job
+        self._release_finished(job)
         if job.is_open:
             self._spawn(
                 "result_flush", functools.partial(self._flush_results, job)
@@ -694,6 +695,12 @@
         """
         if job.is_lost:
             raise ConflictError(f"job {job.job_id} is owned by another node")
+        if job.is_record_released:
+            job.restore_record(
+                await self._store.read_record_results(
+                    job.state.submission, version=job.version
+                )
+            )
         uncommitted = job.state.next_batch(
             max_bytes=self._store.max_bytes * _OBJECTS_PER_WRITE
         )
@@ -713,6 +720,8 @@
                 new,
                 version=job.version,
                 places=job.state.places,
+                max_bytes=self._memory.record_bytes
+                // max(1, sum(j.is_open for j in self.jobs.values())),
             )
         except ConflictError:
             stored = await self._store.refresh(job.state.submission)
@@ -732,6 +741,7 @@
         if job.state.ended:
             self._partial_completions.store(job.state)
             job.cancel_tasks()
+        self._release_finished(job)
         job.notify()
         self._log.event(
             "results_listed",
@@ -759,6 +769,8 @@
         job.state = state
         job.progress = stored.progress
         job.version = stored.version
+        job.is_record_released = False
+        self._release_finished(job)
         if state.has_final_failures:
             job.flush_needed.set()
         job.notify()
@@ -782,6 +794,22 @@
         while len(self._lost_snapshots) > _MAX_LOST_JOBS:
             self._lost_snapshots.pop(next(iter(self._lost_snapshots)))
 
+    def _release_finished(self, job: OwnedJob) -> None:
+        """Forgets what a finished job holds.
+
+        Its results in the progress record are kept as long as those of all jobs
+        fit into the memory, as its trainer may read them yet.
+        """
+        if not job.is_unfinished and not job.state.is_released:
+            job.state.release_items()
+        held_bytes = sum(j.record_bytes for j in self.jobs.values())
+        for other in self.jobs.values():
+            if held_bytes <= self._memory.record_bytes:
+                return
+            if other.record_bytes and not other.is_unfinished:
+                held_bytes -= other.record_bytes
+                other.release_record()
+
     def _drop_kept_completions(self) -> None:
         """Keeps the completions of committed results within their limit."""
         held_bytes = sum(job.state.kept_bytes for job in self.jobs.values())
--- a/endivespindle/runtime/job_service.py
+++ b/endivespindle/runtime/job_service.py
@@ -274,7 +274,7 @@
         if req.end:
             return await self._end(job)
         if req.item_id:
-            return self._reply(job, body=job.state.body(req.item_id))
+            return await self._read_body(job, req.item_id)
         await self._wait_for_result(job, req)
         # Committed results never change, but the absence of further results
         # must be confirmed.
@@ -298,8 +298,16 @@
         """Returns a page of committed results; None if it cannot be read."""
         try:
             async with asyncio.timeout(_CONFIRM_TIMEOUT_S):
+                progress = job.progress
+                if job.is_record_released:
+                    results = await self._store.read_record_results(
+                        job.state.submission, version=job.version
+                    )
+                    progress = msgspec.structs.replace(
+                        progress, results=tuple(results)
+                    )
                 return await self._store.read_results(
-                    job.progress,
+                    progress,
                     committed=len(job.state.committed),
                     after=after,
                     max_bytes=_PAGE_BYTES,
@@ -313,6 +321,19 @@
             )
             return None
 
+    async def _read_body(self, job: OwnedJob, item_id: str) -> JobReply:
+        """Returns the reply with the request body of an item."""
+        body = job.state.body(item_id)
+        if job.state.is_released:
+            try:
+                async with asyncio.timeout(_CONFIRM_TIMEOUT_S):
+                    stored = await self._store.load(job.job_id)
+            except (PlatformError, TimeoutError):
+                return JobReply(state=JobReplyStatus.UNSURE)
+            items = stored.submission.items if stored is not None else []
+            body = next((i.body for i in items if i.item_id == item_id), None)
+        return self._reply(job, body=body)
+
     async def _confirm_for_read(self, job: OwnedJob) -> bool:
         """Confirms ownership within the time that a peer waits for a read."""
         try:
--- a/endivespindle/runtime/job_store.py
+++ b/endivespindle/runtime/job_store.py
@@ -306,6 +306,29 @@
             results += await self._read_part(part.name)
         return _page([*results, *progress.results], max_bytes=max_bytes)
 
+    async def read_record_results(
+        self, submission: BatchSubmission, *, version: int
+    ) -> Sequence[ItemResult]:
+        """Returns the results in the progress record of a job.
+
+        Args:
+            submission: The job.
+            version: Version that the record must have.
+
+        Raises:
+            PlatformError: The store could not be read, or the record has
+                another version.
+        """
+        name = f"{submission.job_id}@{version}"
+
+        async def read() -> Sequence[ItemResult]:
+            progress, found = await self.read_progress(submission)
+            if found != version:
+                raise PlatformUnavailableError(f"{name}: version {found}")
+            return progress.results
+
+        return await self._cache.get(name, read)
+
     async def _read_part(self, name: str) -> Sequence[ItemResult]:
         """Returns the entries of a part.
 
--- a/endivespindle/runtime/owned_job.py
+++ b/endivespindle/runtime/owned_job.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Coroutine, Iterator
+from collections.abc import Callable, Coroutine, Iterator, Sequence
 from typing import Any
 
+import msgspec
+
 from endivespindle.batch.job import ItemState, JobState
-from endivespindle.batch.progress import JobProgress
+from endivespindle.batch.progress import ItemResult, JobProgress
 from endivespindle.core.clock import Clock
 from endivespindle.runtime.job_store import StoredJob
 from endivespindle.runtime.telemetry import EventLog
@@ -16,6 +18,8 @@
 # Largest assumed difference between the clocks of two VMs: more than twice the
 # steps of 2 s by which the platform's clocks jump.
 _MAX_CLOCK_SKEW_S = 5.0
+# Memory of a result besides its text, in bytes.
+_RESULT_BYTES = 400
 
 
 class OwnedJob:
@@ -37,6 +41,8 @@
         changed: Set, then replaced, whenever results are committed, the job
             ends, or another node takes it over.
         flush_needed: Set when there are results to commit.
+        is_record_released: Whether the results in the progress record are no
+            longer held.
         is_lost: Whether another node took the job over.
         provisional_until_s: Monotonic time until which completions may be
             generated although the job's creation is unknown; None once the job
@@ -52,6 +58,7 @@
         "first_seen_s",
         "flush_needed",
         "is_lost",
+        "is_record_released",
         "lock",
         "progress",
         "provisional_until_s",
@@ -78,6 +85,7 @@
         self.flush_needed = asyncio.Event()
         self.lock = asyncio.Lock()
         self.is_lost = False
+        self.is_record_released = False
         self.provisional_until_s: float | None = None
         self.unanswered_tasks: set[asyncio.Task[None]] = set()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -87,6 +95,25 @@
         """Identity of the job."""
         return self.state.submission.job_id
 
+    @property
+    def record_bytes(self) -> int:
+        """Memory of the results in the progress record, in bytes."""
+        return sum(
+            _RESULT_BYTES + len(result.text) for result in self.progress.results
+        )
+
+    def release_record(self) -> None:
+        """Forgets the results in the progress record of a finished job."""
+        self.progress = msgspec.structs.replace(self.progress, results=())
+        self.is_record_released = True
+
+    def restore_record(self, results: Sequence[ItemResult]) -> None:
+        """Takes back what `release_record` has forgotten."""
+        self.progress = msgspec.structs.replace(
+            self.progress, results=tuple(results)
+        )
+        self.is_record_released = False
+
     @property
     def is_unfinished(self) -> bool:
         """Whether items remain to be run, on this or another node."""
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -12,6 +12,7 @@
 from endivespindle.batch.job_memory import JobMemory
 from endivespindle.batch.progress import JobProgress
 from endivespindle.batch.tests.jobs import item
+from endivespindle.runtime.peer_client import JobReplyStatus, JobRequest
 from tests.fleet_fakes import ScriptedAnswer
 from tests.test_batch_jobs import _play
 
@@ -24,6 +25,9 @@
 VALUE_BYTES = 1_048_576
 # Memory of a process that holds a fifth of the completions.
 SMALL_MEMORY_BYTES = 24 * 1_048_576
+# Their results, of which each job's fit into one value, are 6 MB.
+FINISHED_JOBS = 10
+FINISHED_ITEMS = 15
 # Shorter strings are names and the like.
 MIN_TEXT_BYTES = 1000
 
@@ -188,6 +192,36 @@
     _play(_answer, story, memory_bytes=SMALL_MEMORY_BYTES)
 
 
+def test_finished_jobs_do_not_fill_the_memory():
+    """An owner kept what its finished jobs held for minutes (LOST)."""
+    jobs = [f"job-{n}" for n in range(1, FINISHED_JOBS + 1)]
+    limit = JobMemory.for_process(memory_bytes=SMALL_MEMORY_BYTES).record_bytes
+
+    async def story(world):
+        for job_id in jobs:
+            items = [item(f"i{n}") for n in range(FINISHED_ITEMS)]
+            await world.submit(items, job_id=job_id, due_s=60.0)
+        await asyncio.sleep(10.0)
+        owner = world.owner()
+        assert sorted(owner.runner.jobs) == sorted(jobs)
+        assert _held_bytes(owner) <= limit
+        for job_id in jobs:
+            for node in world.nodes:
+                reply = await node.service.query(JobRequest(job_id=job_id))
+                assert len(reply.results) == FINISHED_ITEMS
+            read = JobRequest(job_id=job_id, item_id="i7")
+            assert (await owner.service.query(read)).body == b"i7"
+            end = JobRequest(job_id=job_id, end=True)
+            reply = await world.other().service.query(end)
+            assert reply.state is JobReplyStatus.OK
+            assert owner.runner.jobs[job_id].state.ended
+            reply = await owner.service.query(JobRequest(job_id=job_id))
+            assert len(reply.results) == FINISHED_ITEMS
+        assert _held_bytes(owner) <= limit
+
+    _play(_answer, story, memory_bytes=SMALL_MEMORY_BYTES)
+
+
 class _EarlierPart(msgspec.Struct, kw_only=True):
     """Reference to a part as earlier versions know it."""
 
