Read result parts from any copy of the store

A part never changes once it is written, so that a copy which is seconds old is as good, at a tenth of the price and outside of the store's rate; a part that is missing there is read again.

The limit on results in progress records compares their texts now: the index of a job's parts counted against it as well, and with many open jobs each write would have made a part of its own.

--- a/endivespindle/batch/job.py
+++ b/endivespindle/batch/job.py
@@ -11,7 +11,11 @@
     ItemOutcome,
     ItemResult,
 )
-from endivespindle.batch.submission import BatchItem, BatchSubmission
+from endivespindle.batch.submission import (
+    BatchItem,
+    BatchSubmission,
+    item_places,
+)
 from endivespindle.serving.calls import StreamEvent
 
 __all__ = ["ItemPhase", "ItemState", "JobState"]
@@ -237,7 +241,7 @@
         self.items = {
             item.item_id: ItemState(item=item) for item in submission.items
         }
-        self.places = {item_id: n for n, item_id in enumerate(self.items)}
+        self.places = item_places(submission)
         self._missing: dict[str, int] = {}
         for item in submission.items:
             self._missing[item.group] = self._missing.get(item.group, 0) + 1
--- a/endivespindle/batch/submission.py
+++ b/endivespindle/batch/submission.py
@@ -7,6 +7,7 @@
     "BatchSubmission",
     "RewardCall",
     "expected_output_tokens",
+    "item_places",
 ]
 
 
@@ -98,6 +99,11 @@
     group_count: int = 0
 
 
+def item_places(submission: BatchSubmission) -> dict[str, int]:
+    """Returns the place of each item in a submission, by its identity."""
+    return {item.item_id: n for n, item in enumerate(submission.items)}
+
+
 def expected_output_tokens(item: BatchItem) -> int:
     """Returns the output tokens that an item is expected to need.
 
--- a/endivespindle/runtime/job_service.py
+++ b/endivespindle/runtime/job_service.py
@@ -12,7 +12,7 @@
 from endivespindle.batch.ownership import preferred_owner
 from endivespindle.batch.partial_completions import ItemSnapshot
 from endivespindle.batch.progress import ItemResult, JobProgress
-from endivespindle.batch.submission import BatchSubmission
+from endivespindle.batch.submission import BatchSubmission, item_places
 from endivespindle.core.clock import Clock
 from endivespindle.core.reasons import Reason
 from endivespindle.exceptions import (
@@ -661,10 +661,7 @@
                     job_id,
                     progress,
                     version=stored.version,
-                    places={
-                        item.item_id: n
-                        for n, item in enumerate(stored.submission.items)
-                    },
+                    places=item_places(stored.submission),
                 )
             except PlatformError as exc:
                 self._log.event(
--- a/endivespindle/runtime/job_store.py
+++ b/endivespindle/runtime/job_store.py
@@ -1,6 +1,7 @@
 """Reads and writes batch jobs in the platform's store."""
 
 import enum
+import functools
 from collections.abc import Iterator, Mapping, Sequence
 from typing import TypeVar
 
@@ -15,7 +16,11 @@
     part_at,
     position_after,
 )
-from endivespindle.batch.submission import BatchItem, BatchSubmission
+from endivespindle.batch.submission import (
+    BatchItem,
+    BatchSubmission,
+    item_places,
+)
 from endivespindle.core.decoding import decode_json
 from endivespindle.core.ids import IdSource
 from endivespindle.exceptions import (
@@ -337,9 +342,17 @@
         """
 
         async def read() -> Sequence[ItemResult]:
-            part, _ = await read_object(
-                self._store, kind=_PART_KIND, name=name, cls=_Results
+            read_part = functools.partial(
+                read_object,
+                self._store,
+                kind=_PART_KIND,
+                name=name,
+                cls=_Results,
             )
+            # A part never changes, but may have been written a moment ago.
+            part, _ = await read_part(allow_stale=True)
+            if part is None:
+                part, _ = await read_part()
             if part is None:
                 raise PlatformUnavailableError(f"{_PART_KIND}/{name}: missing")
             return part.results
@@ -355,7 +368,7 @@
             PlatformError: The store could not be read.
         """
         items = submission.items
-        places = {item.item_id: n for n, item in enumerate(items)}
+        places = item_places(submission)
         parts: list[ResultPart] = []
         committed: list[str] = []
         for ref in progress.parts:
@@ -399,8 +412,8 @@
             progress: The new record.
             version: Expected version of the stored record; 0 for none.
             places: Place of each item in the submission, by its identity.
-            max_bytes: Size of the record above which results are moved into
-                parts; None for what the store accepts.
+            max_bytes: Size of the texts in the record above which results are
+                moved into parts; None if only the size of the record counts.
 
         Returns:
             The record as written, and its version.
@@ -412,11 +425,11 @@
         """
         progress = msgspec.structs.replace(progress, token=self._ids.new("p"))
         value = msgspec.json.encode(progress)
-        limit = min(max_bytes or self._max_bytes, self._max_bytes)
-        while progress.results and len(value) > limit:
-            progress = await self._spill_results(
-                job_id, progress, places, limit
-            )
+        while progress.results and (
+            len(value) > self._max_bytes
+            or (max_bytes is not None and _text_bytes(progress) > max_bytes)
+        ):
+            progress = await self._spill_results(job_id, progress, places)
             value = msgspec.json.encode(progress)
         try:
             new_version = await self._store.put(
@@ -474,7 +487,6 @@
         job_id: str,
         progress: JobProgress,
         places: Mapping[str, int],
-        max_bytes: int,
     ) -> JobProgress:
         """Moves results of a progress record into parts that they fill.
 
@@ -489,7 +501,7 @@
             for result in progress.results
             for fragment in fragment_result(result, max_bytes=self._max_bytes)
         ]
-        chunks = list(_chunks(fragments, max_bytes=max_bytes))
+        chunks = list(_chunks(fragments, max_bytes=self._max_bytes))
         # What is left over stays in the record: each part is read one by one.
         rest = chunks.pop() if len(chunks) > 1 else []
         parts = list(progress.parts)
@@ -532,6 +544,10 @@
         yield chunk
 
 
+def _text_bytes(progress: JobProgress) -> int:
+    return sum(len(result.text) for result in progress.results)
+
+
 def _indexed_part(
     name: str,
     item_ids: Sequence[str],
