--- a/endivespindle/batch/tests/test_job.py
+++ b/endivespindle/batch/tests/test_job.py
@@ -53,6 +53,18 @@
     assert [r.item_id for r in job.next_batch(max_bytes=10)] == ["i2"]
 
 
+def test_completions_are_kept_until_their_group_is_complete():
+    job = _job()
+    for name in ("i1", "i2"):
+        job.items[name].append_event(event(1), 1)
+        job.items[name].finish_completion()
+        job.complete_item(job.items[name], score="")
+    job.mark_committed(1)
+    assert job.kept_bytes > 0
+    job.mark_committed(1)
+    assert job.kept_bytes == 0
+
+
 def test_item_has_one_result():
     job = _job()
     state = job.items["i1"]
