Limit the request bodies that a gateway holds together

Cause: a body was gathered in pieces and joined, and aiohttp wrote it at once, so that what the connection did not take was copied into its buffer, for each attempt. Only responses had a limit together.

Change: a body is received into one buffer and written in pieces of 256 KB. Bodies above 64 KB share a quarter of the memory. A body of known length reserves it before it is read; without room the request is refused at once with 503 and a Retry-After.

Open: a job's submission is decoded as a whole; a request passed on through another gateway is encoded with its body.

--- a/endivespindle/backends/body_memory.py
+++ b/endivespindle/backends/body_memory.py
@@ -1,4 +1,4 @@
-"""Memory of the response bodies that a process is reading."""
+"""Memory of the bodies that a process holds."""
 
 import contextlib
 from collections.abc import Iterator
@@ -12,8 +12,8 @@
 # Bytes that each body may hold whatever the others hold, so that small
 # responses are read while a faulty server sends others without end.
 _FREE_BYTES = 65_536
-# Fraction of the process's memory that bodies may hold beyond that.
-_MEMORY_FRACTION = 0.125
+# Fraction of the process's memory that responses may hold beyond that.
+_RESPONSE_FRACTION = 0.125
 
 
 class BodyMemory:
@@ -25,15 +25,19 @@
 
     Args:
         memory_bytes: Memory of this process, in bytes.
+        fraction: Fraction of it that bodies may hold.
 
     Attributes:
         held_bytes: Bytes held beyond those that each body may hold.
+        max_bytes: Most bytes held.
     """
 
-    __slots__ = ("_max_bytes", "held_bytes")
+    __slots__ = ("held_bytes", "max_bytes")
 
-    def __init__(self, *, memory_bytes: int):
-        self._max_bytes = int(memory_bytes * _MEMORY_FRACTION)
+    def __init__(
+        self, *, memory_bytes: int, fraction: float = _RESPONSE_FRACTION
+    ):
+        self.max_bytes = int(memory_bytes * fraction)
         self.held_bytes = 0
 
     @contextlib.contextmanager
@@ -49,16 +53,20 @@
         """Changes the bytes held.
 
         Raises:
-            BackendServerError: There is no memory for more.
+            EndivespindleError: There is no memory for more.
         """
-        if added_bytes > 0 and self.held_bytes + added_bytes > self._max_bytes:
-            raise BackendServerError(
-                "the responses being read are too large together",
-                ran=RunState.RAN,
-                reason=Reason.ANSWER_TOO_LARGE,
-            )
+        if added_bytes > 0 and self.held_bytes + added_bytes > self.max_bytes:
+            raise self._full_error()
         self.held_bytes += added_bytes
 
+    def _full_error(self) -> Exception:
+        """Returns the error that tells that there is no memory for more."""
+        return BackendServerError(
+            "the responses being read are too large together",
+            ran=RunState.RAN,
+            reason=Reason.ANSWER_TOO_LARGE,
+        )
+
 
 class BodyReservation:
     """Memory of one body.
@@ -77,7 +85,7 @@
         """Sets the bytes that the body holds now.
 
         Raises:
-            BackendServerError: There is no memory for them.
+            EndivespindleError: There is no memory for them.
         """
         held_bytes = max(0, body_bytes - _FREE_BYTES)
         self._memory.change(held_bytes - self._held_bytes)
--- a/endivespindle/backends/exchange.py
+++ b/endivespindle/backends/exchange.py
@@ -40,6 +40,8 @@
 # longest pause in a healthy stream is a weight swap: 0.9 s, and more while
 # several servers load weights.
 _SILENCE_TIMEOUT_S = 4.0
+# Bytes of a request body that are written at once.
+_PIECE_BYTES = 262_144
 _SKIPPED_AUTO_HEADERS = (
     "User-Agent",
     "Accept",
@@ -113,6 +115,35 @@
         raise connection_lost_error(repr(exc)) from exc
 
 
+class _LargeBody(aiohttp.payload.Payload):
+    """A request body that is written in pieces.
+
+    Written at once, all that the connection does not take is copied into its
+    buffer.
+    """
+
+    _autoclose = True
+
+    def __init__(self, body: bytes):
+        super().__init__(body, content_type="application/octet-stream")
+        self._size = len(body)
+
+    def decode(self, encoding: str = "utf-8", errors: str = "strict") -> str:
+        return self._value.decode(encoding, errors)
+
+    async def write(self, writer: aiohttp.abc.AbstractStreamWriter) -> None:
+        await self.write_with_length(writer, None)
+
+    async def write_with_length(
+        self,
+        writer: aiohttp.abc.AbstractStreamWriter,
+        content_length: int | None,
+    ) -> None:
+        view = memoryview(self._value)[:content_length]
+        for start in range(0, len(view), _PIECE_BYTES):
+            await writer.write(view[start : start + _PIECE_BYTES])
+
+
 async def send_request(
     session: aiohttp.ClientSession,
     method: str,
@@ -143,7 +174,7 @@
             method,
             url,
             headers=headers,
-            data=body or None,
+            data=_LargeBody(body) if len(body) > _PIECE_BYTES else body or None,
             skip_auto_headers=_SKIPPED_AUTO_HEADERS,
             allow_redirects=False,
             timeout=aiohttp.ClientTimeout(
--- a/endivespindle/core/reasons.py
+++ b/endivespindle/core/reasons.py
@@ -52,6 +52,11 @@
     )
     MALFORMED = (400, RunState.NOT_RUN, "The request is malformed.")
     BODY_TOO_LARGE = (413, RunState.NOT_RUN, "The request body is too large.")
+    UPLOADS_TOO_LARGE = (
+        503,
+        RunState.NOT_RUN,
+        "The request bodies being handled are too large together.",
+    )
     MODEL_UNKNOWN = (404, RunState.NOT_RUN, "No service holds this model.")
     TRAINER_UNKNOWN = (404, RunState.NOT_RUN, "This trainer is not known.")
     WRONG_ACCOUNT = (
--- a/endivespindle/runtime/gateway.py
+++ b/endivespindle/runtime/gateway.py
@@ -314,6 +314,7 @@
             rng=parts.rng,
             owner_id=owner_id,
             drain=self._drain,
+            memory_bytes=settings.memory_mb * 1_048_576,
             log=parts.log,
             metrics=parts.metrics,
         )
--- a/endivespindle/runtime/ingress.py
+++ b/endivespindle/runtime/ingress.py
@@ -6,10 +6,12 @@
 import math
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import cast
 
 import msgspec
 from aiohttp import web
 
+from endivespindle.backends.body_memory import BodyMemory, BodyReservation
 from endivespindle.batch.job_calls import (
     JobAction,
     JobCall,
@@ -67,6 +69,14 @@
 # Time within which a call for a job is answered: a read of the store, its owner
 # asked, and the wait for a result.
 _JOB_CALL_LIMIT_S = 2.0
+# Size up to which a body is copied into an immutable object.
+_COPIED_BODY_BYTES = 65_536
+# Delay of the retry of a request whose body found no memory: a body of the
+# largest size is received and passed on in about this time.
+_UPLOADS_RETRY_AFTER_S = 1.0
+# Fraction of the process's memory that request bodies may hold. A body of the
+# largest size that callers are known to be allowed fits into it on small VMs.
+_UPLOAD_FRACTION = 0.25
 # Delay of the retry of a request that a leaving VM does not take: retries reach
 # other VMs.
 _DRAINING_RETRY_AFTER_S = 0.05
@@ -90,6 +100,21 @@
     start_s: float
 
 
+class _UploadMemory(BodyMemory):
+    """Limits the bytes of all request bodies that are held at a time.
+
+    Load pattern: callers send bodies of the largest size at the same time. Each
+    is held until its request is answered, as it may have to be sent again.
+    """
+
+    __slots__ = ()
+
+    def _full_error(self) -> Exception:
+        return RefusedError(
+            Reason.UPLOADS_TOO_LARGE, retry_after_s=_UPLOADS_RETRY_AFTER_S
+        )
+
+
 class Ingress:
     """Handles each request of a caller.
 
@@ -104,6 +129,7 @@
         owner_id: Identity of this node as an owner of jobs.
         drain: Which requests are taken during the shutdown. Connections are
             then closed after their response, and no job is accepted.
+        memory_bytes: Memory of this process, in bytes.
         log: Event log.
         metrics: Metrics of this node.
 
@@ -123,6 +149,7 @@
         "_rng",
         "_scopes",
         "_streams",
+        "_uploads",
         "_usage",
         "active_requests",
     )
@@ -139,11 +166,15 @@
         rng: random.Random,
         owner_id: str,
         drain: DrainWindow,
+        memory_bytes: int,
         log: EventLog,
         metrics: NodeMetrics,
     ):
         self._config = config
         self._drain = drain
+        self._uploads = _UploadMemory(
+            memory_bytes=memory_bytes, fraction=_UPLOAD_FRACTION
+        )
         self._scopes: set[asyncio.Timeout] = set()
         self._forwarder = forwarder
         self._streams = streams
@@ -258,11 +289,26 @@
         ):
             self._config.check_final_refusal()
             raise RefusedError(Reason.METHOD_NOT_ALLOWED)
+        with self._uploads.reserve() as reservation:
+            body = await self._read_body(request, metadata, reservation)
+            return await self._serve_body(
+                request, permit, metadata, body, start_s
+            )
+
+    async def _serve_body(
+        self,
+        request: web.BaseRequest,
+        permit: Permit,
+        metadata: RequestMetadata,
+        body: bytes,
+        start_s: float,
+    ) -> web.StreamResponse:
+        """Serves a request whose body was read."""
         permitted = _PermittedRequest(
             request=request,
             permit=permit,
             metadata=metadata,
-            body=await self._read_body(request),
+            body=body,
             start_s=start_s,
         )
         route = permit.route
@@ -413,24 +459,47 @@
             raise RefusedError(Reason.WRONG_ACCOUNT)
         return _job_response(job_request, reply)
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
+    async def _read_body(
+        self,
+        request: web.BaseRequest,
+        metadata: RequestMetadata,
+        reservation: BodyReservation,
+    ) -> bytes:
         """Reads a body of at most the configured size.
 
+        Memory for a body of known length is reserved before it is read.
+
         Raises:
-            RefusedError: The body is larger.
+            RefusedError: The body is larger, or there is no memory for it.
         """
         limit = _DEFAULT_BODY_BYTES
         if self._config.config is not None:
             limit = self._config.config.limits.body_bytes
-        parts: list[bytes] = []
-        size = 0
-        async for part in request.content.iter_any():
-            size += len(part)
-            if size > limit:
-                self._config.check_final_refusal()
-                raise RefusedError(Reason.BODY_TOO_LARGE)
-            parts.append(part)
-        return b"".join(parts)
+        body = bytearray()
+        size = request.content_length or 0
+        try:
+            reservation.resize(min(size, limit))
+            async for part in request.content.iter_any():
+                if len(body) + len(part) > limit:
+                    self._config.check_final_refusal()
+                    raise RefusedError(Reason.BODY_TOO_LARGE)
+                body += part
+                if len(body) > size:
+                    reservation.resize(len(body))
+        except RefusedError as exc:
+            if exc.reason is Reason.UPLOADS_TOO_LARGE:
+                self._log.event(
+                    "upload_refused",
+                    request_id=metadata.request_id,
+                    body_bytes=max(size, len(body)),
+                    held_bytes=self._uploads.held_bytes,
+                    max_bytes=self._uploads.max_bytes,
+                )
+            raise
+        # A large body is not copied once more.
+        return (
+            cast(bytes, body) if len(body) > _COPIED_BODY_BYTES else bytes(body)
+        )
 
 
 def _job_response(job_request: JobRequest, reply: JobReply) -> web.Response:
--- a/endivespindle/standins/users_server.py
+++ b/endivespindle/standins/users_server.py
@@ -12,6 +12,9 @@
 # A request whose body begins with this crashes the server that runs it.
 CRASHING_BODY = b"crash"
 _EVENT_S = 0.01
+_MAX_BODY_BYTES = 64 * 1_048_576
+# Bytes of a body that are sent back.
+_MAX_ECHO_BYTES = 1_048_576
 # Time until a crashed server has started again.
 _RESTART_S = 1.5
 
@@ -98,7 +101,7 @@
 
     async def start(self) -> None:
         """Begins to listen, on the same port after a crash."""
-        app = web.Application()
+        app = web.Application(client_max_size=_MAX_BODY_BYTES)
         app.on_response_prepare.append(self._announce)
         app.router.add_post("/order", self._order)
         app.router.add_get("/report", self._report)
@@ -193,7 +196,8 @@
         model = request.headers.get("X-Model")
         if model is None:
             await asyncio.sleep(self.faults.work_s)
-            return web.Response(body=b"echo:" + body, headers=headers)
+            echo = body[:_MAX_ECHO_BYTES]
+            return web.Response(body=b"echo:" + echo, headers=headers)
         return await self._stream(request, headers, model, last)
 
     async def _stream(
