Drop the tracebacks of failed attempts with their bodies

Cause: reading the result of a failed task adds the reading frame to the error's traceback; that frame refers to the task, and the task to the error. The frames also hold the request, so that its body stayed until a collection of cycles.

Change: the traceback of an error that was evaluated is dropped.

Test: tests/test_large_uploads.py::test_failed_uploads_do_not_keep_their_bodies failed before (244.0 MB on a gateway of 200 MB).

--- a/endivespindle/runtime/forwarding.py
+++ b/endivespindle/runtime/forwarding.py
@@ -345,6 +345,9 @@
             attempts.last_reason = exc.reason
             attempts.not_run_count += exc.ran is RunState.NOT_RUN
             self._metrics.count_retry(RetryReason.BACKEND_LOST)
+            # It refers to the task, which refers to the error: the body of the
+            # request would be kept until the next collection of cycles.
+            exc.__traceback__ = None
             return None
         if response.head.not_run:
             attempts.not_run_count += 1
--- a/tests/test_large_uploads.py
+++ b/tests/test_large_uploads.py
@@ -15,6 +15,7 @@
 
 BODY_BYTES = 32_000_000
 UPLOADS = 6
+FAILED_UPLOADS = 10
 # Memory of the gateways of these fleets.
 MEMORY_MB = 200
 READ_PAUSE_S = 0.02
@@ -92,6 +93,25 @@
     await fleet.until(is_allowed)
 
 
+async def test_failed_uploads_do_not_keep_their_bodies(tmp_path):
+    """Errors of attempts kept bodies until a collection of cycles (Fault)."""
+    async with NodeFleet(tmp_path) as fleet:
+        await _allow_large_bodies(fleet)
+        for server in fleet.plain:
+            server.faults.lose_answers = 2 * FAILED_UPLOADS
+        async with _Peak(fleet.nodes["g1"].proc.pid) as peak:
+            for number in range(FAILED_UPLOADS):
+                status, _, _ = await fleet.call(
+                    "g1",
+                    "POST",
+                    f"/orders/{number}",
+                    body=bytes(BODY_BYTES),
+                    **{"X-Request-Id": f"large-{number}"},
+                )
+                assert status in (503, 504)
+        assert peak.mb < MEMORY_MB
+
+
 async def test_uploads_together_do_not_exceed_the_memory(tmp_path):
     """Two uploads within the limit on bodies ended a gateway (review/12)."""
     async with NodeFleet(tmp_path) as fleet:
