Wait for silent servers where no other one may go on

Cause: each exchange had a read timeout of 4 s. It lets another server go on in time; a stream that can't be resumed and a request that may not be repeated can only be broken off.

Change: the call says whether a silent server is waited for; that of a route that neither repeats nor resumes lasts until its deadline or timeout, directly and through another gateway.

Requests that may be repeated keep the timeout.

--- a/endivespindle/backends/exchange.py
+++ b/endivespindle/backends/exchange.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "MAX_BODY_BYTES",
+    "SILENCE_TIMEOUT_S",
     "BodyEnd",
     "check_body_size",
     "connection_lost_error",
@@ -36,10 +37,10 @@
 # A server that does not accept a connection within this time is gone or
 # partitioned: the round trip within a region is a few milliseconds.
 _CONNECT_TIMEOUT_S = 0.6
-# A server that sends no data for this long is considered unresponsive. The
-# longest pause in a healthy stream is a weight swap: 0.9 s, and more while
-# several servers load weights.
-_SILENCE_TIMEOUT_S = 4.0
+# A server that sends no data for this long is considered unresponsive, if
+# another one may go on with the request. The longest pause in a healthy stream
+# is a weight swap: 0.9 s, and more while several servers load weights.
+SILENCE_TIMEOUT_S = 4.0
 # Bytes of a request body that are written at once.
 _PIECE_BYTES = 262_144
 _SKIPPED_AUTO_HEADERS = (
@@ -153,6 +154,7 @@
     body: bytes,
     timeout_s: float | None,
     connect_timeout_s: float | None = None,
+    may_wait: bool = False,
 ) -> aiohttp.ClientResponse:
     """Sends a request as it is, and returns the head of the response.
 
@@ -165,6 +167,8 @@
         timeout_s: Timeout of the complete exchange, in seconds.
         connect_timeout_s: Seconds within which a connection must be accepted;
             None for the default.
+        may_wait: Whether a silent server is waited for until the timeout. A
+            connection that is lost without notice ends by its probes.
 
     Raises:
         BackendServerError: No response; `ran` tells whether it was sent.
@@ -180,7 +184,7 @@
             timeout=aiohttp.ClientTimeout(
                 total=timeout_s,
                 sock_connect=connect_timeout_s or _CONNECT_TIMEOUT_S,
-                sock_read=_SILENCE_TIMEOUT_S,
+                sock_read=None if may_wait else SILENCE_TIMEOUT_S,
             ),
             trace_request_ctx=ConnectionCount(),
         )
--- a/endivespindle/platform/servers.py
+++ b/endivespindle/platform/servers.py
@@ -119,6 +119,7 @@
             body=call.body,
             timeout_s=timeout_s,
             connect_timeout_s=call.connect_timeout_s,
+            may_wait=call.may_wait,
         )
         try:
             response_id = parse_response_id(resp.headers.items())
--- a/endivespindle/runtime/borrowed_path.py
+++ b/endivespindle/runtime/borrowed_path.py
@@ -9,6 +9,7 @@
 
 from endivespindle.backends.exchange import (
     MAX_BODY_BYTES,
+    SILENCE_TIMEOUT_S,
     check_body_size,
     connection_lost_error,
     is_final_status,
@@ -64,8 +65,6 @@
 # one may be cut off without knowing it.
 _LENT_CONNECT_TIMEOUT_S = 0.2
 _CONNECT_TIMEOUT_S = 0.3
-# A reply without a byte for this long is lost; see the same bound of responses.
-_SILENCE_TIMEOUT_S = 4.0
 
 
 class BorrowingServerApi(ServerApi):
@@ -269,7 +268,7 @@
                     timeout=aiohttp.ClientTimeout(
                         total=timeout_s,
                         sock_connect=_CONNECT_TIMEOUT_S,
-                        sock_read=_SILENCE_TIMEOUT_S,
+                        sock_read=None if call.may_wait else SILENCE_TIMEOUT_S,
                     ),
                 )
         except BackendServerError as exc:
--- a/endivespindle/runtime/ingress.py
+++ b/endivespindle/runtime/ingress.py
@@ -384,6 +384,8 @@
             client_account=permitted.permit.client_account,
             urgency=min(9, permitted.permit.priority),
             may_repeat=route.kind is RouteKind.IDEMPOTENT,
+            may_wait=route.kind is not RouteKind.IDEMPOTENT
+            and not route.resumable,
         )
         plan = ForwardPlan(
             route=route.name,
--- a/endivespindle/serving/calls.py
+++ b/endivespindle/serving/calls.py
@@ -43,6 +43,9 @@
         may_repeat: Whether the request may safely run twice.
         connect_timeout_s: Seconds within which a connection must be accepted;
             None for the client's own limit.
+        may_wait: Whether a silent server is waited for until the timeout of the
+            exchange, as no other server may go on with the request. Earlier
+            versions do not know it and give up.
     """
 
     request_id: str
@@ -57,6 +60,7 @@
     urgency: int | None = None
     may_repeat: bool = True
     connect_timeout_s: float | None = None
+    may_wait: bool = False
 
 
 class ServerLoad(msgspec.Struct, kw_only=True, frozen=True):
